Add route tables and their encoding

Cause: the product answers queries of named services, and has no notion of a host, a path prefix, a weighted split or a set of shards that a request is gathered from. Change: package routes holds one version of the table, checks it and finds the longest prefix; package routescodec encodes it for the control log and between VMs.

--- /dev/null
+++ b/internal/routes/routes.go
@@ -0,0 +1,204 @@
+// Package routes holds the route table: which services answer the requests of a host and path prefix, and within
+// which bounds. A table is one version of the operators' configuration and is never changed once it is built.
+package routes
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/chestnuttiller/chestnuttiller/internal/errs"
+	"github.com/chestnuttiller/chestnuttiller/internal/model"
+)
+
+// Version orders route tables. The highest published version is in force.
+type Version uint64
+
+// Share is the part of a route's requests that goes to one service.
+type Share struct {
+	Service model.ServiceName
+	Weight  float64
+}
+
+// Route says how requests of one host and path prefix are handled. Exactly one of Split and Shards is filled.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	// Repeatable says that a request may run more than once.
+	Repeatable bool
+	// Timeout bounds the time that a caller is kept waiting. Objective is the time within which an answer is of
+	// full use to the caller.
+	Timeout   time.Duration
+	Objective time.Duration
+	// Rank orders routes that compete for the same leaves; 0 goes first.
+	Rank int
+	// MaxAttempts bounds the leaves that one request, or one shard of it, is sent to.
+	MaxAttempts int
+	Split       []Share
+	Shards      []model.ServiceName
+	// TopRecords is how many records the merged answer of all shards holds at most.
+	TopRecords int
+	// MinCoverage is the least share of the shards that makes an answer.
+	MinCoverage float64
+}
+
+// Gathers reports whether a request of the route goes to all shards.
+func (r *Route) Gathers() bool { return len(r.Shards) > 0 }
+
+// Service is a group of leaves that answer alike.
+type Service struct {
+	Name       model.ServiceName
+	HealthPath string
+	// MaxConnections is what each leaf accepts from all callers together.
+	MaxConnections int
+}
+
+// Limits bound what callers may send and how long they may take. A zero is no bound.
+type Limits struct {
+	MaxHeaderBytes int64
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Table is one version of the routes.
+type Table struct {
+	Version  Version
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+
+	byHost   map[string][]*Route
+	services map[model.ServiceName]*Service
+}
+
+// Publication is a table with the document that the operator sent for it.
+type Publication struct {
+	Table    *Table
+	Document []byte
+}
+
+// Build checks a table and prepares it for lookups. The error names what is invalid.
+func Build(t *Table) (*Table, error) {
+	t.services = make(map[model.ServiceName]*Service, len(t.Services))
+	for i := range t.Services {
+		s := &t.Services[i]
+		if s.Name == "" {
+			return nil, invalid("name every service", "service %d has no name", i)
+		}
+		if _, ok := t.services[s.Name]; ok {
+			return nil, invalid("list each service once", "service %q is listed twice", s.Name)
+		}
+		t.services[s.Name] = s
+	}
+	t.byHost = map[string][]*Route{}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if err := t.check(r); err != nil {
+			return nil, err
+		}
+		r.Host = strings.ToLower(r.Host)
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	for host, list := range t.byHost {
+		// The longest prefix comes first, so that the first match is the route.
+		slices.SortStableFunc(list, func(a, b *Route) int {
+			return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(a.Prefix, b.Prefix))
+		})
+		for i := 1; i < len(list); i++ {
+			if list[i].Prefix == list[i-1].Prefix {
+				return nil, invalid("give one of them another prefix", "routes %q and %q share host %q and prefix %q", list[i-1].Name, list[i].Name, host, list[i].Prefix)
+			}
+		}
+	}
+	return t, nil
+}
+
+func (t *Table) check(r *Route) error {
+	switch {
+	case r.Host == "" || !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+		return invalid("give it a host, and a prefix that begins and ends with a slash", "route %q has host %q and prefix %q", r.Name, r.Host, r.Prefix)
+	case r.Timeout <= 0:
+		return invalid("give it a timeout above 0", "route %q has no timeout", r.Name)
+	case r.MaxAttempts < 1:
+		return invalid("allow at least one attempt", "route %q allows %d attempts", r.Name, r.MaxAttempts)
+	case r.Gathers() == (len(r.Split) > 0):
+		return invalid("name either services or shards", "route %q names %d services and %d shards", r.Name, len(r.Split), len(r.Shards))
+	case r.Gathers() && !r.Repeatable:
+		return invalid("make the route repeatable", "route %q gathers from shards and is not repeatable", r.Name)
+	case r.Gathers() && (r.TopRecords < 0 || r.MinCoverage < 0 || r.MinCoverage > 1):
+		return invalid("ask for 0 records or more and a coverage from 0 to 1", "route %q asks for %d records and a coverage of %v", r.Name, r.TopRecords, r.MinCoverage)
+	}
+	var weights float64
+	for _, s := range r.Split {
+		if s.Weight < 0 {
+			return invalid("use weights of 0 and above", "route %q gives %q a weight of %v", r.Name, s.Service, s.Weight)
+		}
+		weights += s.Weight
+		if err := t.checkService(r, s.Service); err != nil {
+			return err
+		}
+	}
+	if len(r.Split) > 0 && weights <= 0 {
+		return invalid("give a service a weight above 0", "the weights of route %q add up to 0", r.Name)
+	}
+	for i, s := range r.Shards {
+		if err := t.checkService(r, s); err != nil {
+			return err
+		}
+		if slices.Contains(r.Shards[:i], s) {
+			return invalid("list each shard once", "route %q lists shard %q twice", r.Name, s)
+		}
+	}
+	return nil
+}
+
+func (t *Table) checkService(r *Route, name model.ServiceName) error {
+	if t.services[name] == nil {
+		return invalid("add the service, or name another one", "route %q names the unknown service %q", r.Name, name)
+	}
+	return nil
+}
+
+func invalid(remedy, format string, args ...any) error {
+	return errs.New(errs.KindInvalid, remedy, format, args...)
+}
+
+// Match returns the route with the longest prefix that begins the path, or nil. A port behind the host is ignored.
+func (t *Table) Match(host, path string) *Route {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns a service of the table, or nil.
+func (t *Table) Service(name model.ServiceName) *Service { return t.services[name] }
+
+// Pick returns the service of a split route for a number from 0 up to, but not including, 1.
+func (r *Route) Pick(at float64) model.ServiceName {
+	var sum float64
+	for _, s := range r.Split {
+		sum += s.Weight
+	}
+	at *= sum
+	last := r.Split[0].Service
+	for _, s := range r.Split {
+		if s.Weight <= 0 {
+			continue
+		}
+		last = s.Service
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	return last // Only rounding leads here.
+}
--- /dev/null
+++ b/internal/routescodec/routescodec.go
@@ -0,0 +1,118 @@
+// Package routescodec is the protobuf encoding of route tables in the control log and between VMs.
+package routescodec
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chestnuttiller/chestnuttiller/internal/errs"
+	"github.com/chestnuttiller/chestnuttiller/internal/model"
+	"github.com/chestnuttiller/chestnuttiller/internal/routes"
+	"github.com/chestnuttiller/chestnuttiller/internal/routescodec/routespb"
+)
+
+// Encode encodes a publication.
+func Encode(p routes.Publication) ([]byte, error) {
+	return proto.Marshal(&routespb.Publication{Table: ToTable(p.Table), Document: p.Document})
+}
+
+// Decode reads a publication and checks its table.
+func Decode(data []byte) (routes.Publication, error) {
+	var x routespb.Publication
+	if err := proto.Unmarshal(data, &x); err != nil {
+		return routes.Publication{}, errs.Wrap(err, errs.KindInvalid, "run the same release on all VMs", "a published route table cannot be decoded")
+	}
+	t, err := FromTable(x.GetTable())
+	return routes.Publication{Table: t, Document: x.GetDocument()}, err
+}
+
+// EncodeResult encodes the version in force after a publication was applied, or the reason why it was not.
+func EncodeResult(inForce routes.Version, failure error) ([]byte, error) {
+	r := &routespb.Result{Version: uint64(inForce)}
+	if failure != nil {
+		r.Error = failure.Error()
+	}
+	return proto.Marshal(r)
+}
+
+// DecodeResult is the reverse of EncodeResult.
+func DecodeResult(data []byte) (routes.Version, error) {
+	var r routespb.Result
+	if err := proto.Unmarshal(data, &r); err != nil || len(data) == 0 {
+		return 0, errs.New(errs.KindUnknownOutcome, "publish the same version again", "the result of a publication cannot be read")
+	}
+	if r.GetError() != "" {
+		return 0, errs.New(errs.KindInvalid, "run the same release on all VMs", "the control group refused the publication: %s", r.GetError())
+	}
+	return routes.Version(r.GetVersion()), nil
+}
+
+// ToTable returns the message of a table, or nil for none.
+func ToTable(t *routes.Table) *routespb.Table {
+	if t == nil {
+		return nil
+	}
+	out := &routespb.Table{Version: uint64(t.Version), Limits: &routespb.Limits{
+		MaxHeaderBytes: t.Limits.MaxHeaderBytes, MaxBodyBytes: t.Limits.MaxBodyBytes,
+		HeaderTimeoutMs: t.Limits.HeaderTimeout.Milliseconds(), IdleTimeoutMs: t.Limits.IdleTimeout.Milliseconds(),
+	}}
+	for i := range t.Routes {
+		out.Routes = append(out.Routes, toRoute(&t.Routes[i]))
+	}
+	for _, s := range t.Services {
+		out.Services = append(out.Services, &routespb.Service{Name: string(s.Name), HealthPath: s.HealthPath, MaxConnections: int32(s.MaxConnections)})
+	}
+	return out
+}
+
+func toRoute(r *routes.Route) *routespb.Route {
+	out := &routespb.Route{
+		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Repeatable: r.Repeatable,
+		TimeoutMs: r.Timeout.Milliseconds(), ObjectiveMs: r.Objective.Milliseconds(), Rank: int32(r.Rank),
+		MaxAttempts: int32(r.MaxAttempts), TopRecords: int32(r.TopRecords), MinCoverage: r.MinCoverage,
+	}
+	for _, s := range r.Split {
+		out.Split = append(out.Split, &routespb.Share{Service: string(s.Service), Weight: s.Weight})
+	}
+	for _, s := range r.Shards {
+		out.Shards = append(out.Shards, string(s))
+	}
+	return out
+}
+
+// FromTable returns the checked table of a message.
+func FromTable(x *routespb.Table) (*routes.Table, error) {
+	if x == nil {
+		return nil, errs.New(errs.KindInvalid, "run the same release on all VMs", "a publication holds no route table")
+	}
+	l := x.GetLimits()
+	t := &routes.Table{Version: routes.Version(x.GetVersion()), Limits: routes.Limits{
+		MaxHeaderBytes: l.GetMaxHeaderBytes(), MaxBodyBytes: l.GetMaxBodyBytes(),
+		HeaderTimeout: millis(l.GetHeaderTimeoutMs()), IdleTimeout: millis(l.GetIdleTimeoutMs()),
+	}}
+	for _, r := range x.GetRoutes() {
+		t.Routes = append(t.Routes, fromRoute(r))
+	}
+	for _, s := range x.GetServices() {
+		t.Services = append(t.Services, routes.Service{Name: model.ServiceName(s.GetName()), HealthPath: s.GetHealthPath(), MaxConnections: int(s.GetMaxConnections())})
+	}
+	return routes.Build(t)
+}
+
+func fromRoute(r *routespb.Route) routes.Route {
+	out := routes.Route{
+		Name: r.GetName(), Host: r.GetHost(), Prefix: r.GetPrefix(), Repeatable: r.GetRepeatable(),
+		Timeout: millis(r.GetTimeoutMs()), Objective: millis(r.GetObjectiveMs()), Rank: int(r.GetRank()),
+		MaxAttempts: int(r.GetMaxAttempts()), TopRecords: int(r.GetTopRecords()), MinCoverage: r.GetMinCoverage(),
+	}
+	for _, s := range r.GetSplit() {
+		out.Split = append(out.Split, routes.Share{Service: model.ServiceName(s.GetService()), Weight: s.GetWeight()})
+	}
+	for _, s := range r.GetShards() {
+		out.Shards = append(out.Shards, model.ServiceName(s))
+	}
+	return out
+}
+
+func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
