Add the decisions for one forwarded request

Change: package forward holds the run of one request, the merge of records, the budget for repeated attempts and the observations of leaves, all without clock or sockets. Ruled out: package query, which is built on layouts, index versions and claims.

--- /dev/null
+++ b/internal/forward/run.go
@@ -0,0 +1,428 @@
+package forward
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
+	"github.com/chestnuttiller/chestnuttiller/internal/model"
+	"github.com/chestnuttiller/chestnuttiller/internal/routes"
+)
+
+const (
+	// patienceShare is the part of the objective for which a request waits for a leaf before it is refused. A
+	// caller that is refused this early can still be served in time by another VM.
+	patienceShare = 4
+	// unsentAttempts is how many attempts beyond the allowed number a shard gets when leaves did not run the others.
+	unsentAttempts = 2
+	// coverageSlack absorbs the rounding of a share that is meant to be a whole number of parts.
+	coverageSlack = 1e-9
+	// minTimeLeft is the least time for which an attempt is started.
+	minTimeLeft = 5 * time.Millisecond
+)
+
+// Env is what a run asks while it decides. The answers may differ from call to call.
+type Env interface {
+	// Choose returns the leaf of a service that is expected to answer first, or nil when none has room. Tried lists the
+	// leaves that the part was sent to.
+	Choose(now time.Time, service model.ServiceName, tried []*leaves.Member) *leaves.Member
+	// Known reports whether the service has a leaf that was not tried, with room or without.
+	Known(service model.ServiceName, tried []*leaves.Member) bool
+	// First counts a first attempt at a service, and Repeat asks for one more attempt.
+	First(now time.Time, service model.ServiceName)
+	Repeat(now time.Time, service model.ServiceName, hedge bool) bool
+	// HedgeAfter returns how long an attempt may be unanswered before another leaf is asked as well.
+	HedgeAfter() time.Duration
+}
+
+// Options are the settings of a run.
+type Options struct {
+	// CallerDelay is how long a request and its answer travel between the caller and this VM together.
+	CallerDelay time.Duration
+}
+
+type attempt struct {
+	leaf    *leaves.Member
+	started time.Time
+	ended   bool
+	// sent and ran are known once the attempt has ended.
+	sent, ran bool
+	status    int
+	err       error
+	// hedged says that no further attempt is to be sent because this one is slow.
+	hedged bool
+}
+
+// part is one shard of a gathered request, or the whole of any other.
+type part struct {
+	service  model.ServiceName
+	attempts []attempt
+	tried    []*leaves.Member
+	reply    *LeafReply
+	// failure is the last reply or error that did not answer the part.
+	failure *AttemptEnd
+	failed  bool
+	// waiting says that no leaf has room.
+	waiting bool
+	// exhausted says that the budget allowed no further attempt.
+	exhausted bool
+}
+
+// Run is the state of one request. It is used by one goroutine.
+type Run struct {
+	route *routes.Route
+	env   Env
+	parts []part
+	// answerBy is when a partial answer is given rather than waited for the rest. end is when the caller is answered
+	// whatever there is, and refuseAt is when a request that was sent to no leaf is refused.
+	answerBy, end, refuseAt time.Time
+	answered                int
+	sent                    bool
+	ran                     bool
+}
+
+// NewRun starts a request on a route. Service is the one that the route's split gave to it, for a route that does not
+// gather.
+func NewRun(req *Request, route *routes.Route, service model.ServiceName, o Options, env Env) *Run {
+	r := &Run{route: route, env: env}
+	r.end = req.Received.Add(route.Timeout)
+	if !req.Deadline.IsZero() {
+		if d := req.Deadline.Add(-o.CallerDelay); d.Before(r.end) {
+			r.end = d
+		}
+	}
+	objective := route.Objective
+	if objective <= 0 {
+		objective = route.Timeout
+	}
+	r.answerBy = earlier(req.Received.Add(max(objective-o.CallerDelay, objective/2)), r.end)
+	r.refuseAt = earlier(req.Received.Add(objective/patienceShare), r.end)
+	if !route.Gathers() {
+		r.parts = []part{{service: service}}
+		return r
+	}
+	r.parts = make([]part, len(route.Shards))
+	for i, s := range route.Shards {
+		r.parts[i].service = s
+	}
+	return r
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// Step returns the attempts to start now, the response if the request is finished, and otherwise the time at which
+// Step has to be called again. It is called at the start, after each Ended, and when a leaf has room again.
+func (r *Run) Step(now time.Time) (sends []Send, response *Response, wake time.Time) {
+	wake = r.end
+	open := false
+	for i := range r.parts {
+		p := &r.parts[i]
+		if p.reply != nil || p.failed {
+			continue
+		}
+		var at time.Time
+		sends, at = r.stepPart(now, i, sends)
+		if !p.failed {
+			open = true
+			wake = earlier(wake, at)
+		}
+	}
+	if response = r.finish(now, open); response != nil {
+		return nil, response, now
+	}
+	if r.enough() {
+		wake = earlier(wake, r.answerBy)
+	}
+	if now.Before(r.refuseAt) && (!r.sent || len(r.Waiting()) > 0) {
+		wake = earlier(wake, r.refuseAt)
+	}
+	return sends, nil, wake
+}
+
+// stepPart starts what one part needs, and returns when it has to be looked at again.
+func (r *Run) stepPart(now time.Time, i int, sends []Send) ([]Send, time.Time) {
+	p := &r.parts[i]
+	pending := p.pending()
+	if pending == nil {
+		return r.startPart(now, i, sends), r.end
+	}
+	if !r.route.Repeatable || p.exhausted || pending.hedged || !r.mayRepeat(p) {
+		return sends, r.end
+	}
+	due := pending.started.Add(r.env.HedgeAfter())
+	if now.Before(due) {
+		return sends, due
+	}
+	leaf := r.env.Choose(now, p.service, p.tried)
+	if leaf == nil {
+		pending.hedged = true // No other leaf has room, and asking again would only add load.
+		return sends, r.end
+	}
+	if !r.env.Repeat(now, p.service, true) {
+		p.exhausted = true
+		return sends, r.end
+	}
+	pending.hedged = true
+	return r.send(now, i, leaf, sends), r.end
+}
+
+// startPart sends a part that no leaf is working on.
+func (r *Run) startPart(now time.Time, i int, sends []Send) []Send {
+	p := &r.parts[i]
+	first := !p.arrived()
+	if !first && !r.mayRepeat(p) {
+		p.failed = true
+		return sends
+	}
+	if r.end.Sub(now) < minTimeLeft {
+		return sends
+	}
+	leaf := r.env.Choose(now, p.service, p.tried)
+	if leaf == nil {
+		// A part whose leaves were all tried fails; one whose leaves have no room waits for it.
+		p.waiting = r.env.Known(p.service, p.tried) || len(p.attempts) == 0 && now.Before(r.refuseAt)
+		p.failed = !p.waiting
+		return sends
+	}
+	if first {
+		if len(p.attempts) == 0 {
+			r.env.First(now, p.service)
+		}
+	} else if !r.env.Repeat(now, p.service, false) {
+		p.exhausted, p.failed = true, true
+		return sends
+	}
+	p.waiting = false
+	return r.send(now, i, leaf, sends)
+}
+
+func (r *Run) send(now time.Time, i int, leaf *leaves.Member, sends []Send) []Send {
+	p := &r.parts[i]
+	p.attempts = append(p.attempts, attempt{leaf: leaf, started: now})
+	p.tried = append(p.tried, leaf)
+	r.sent = true
+	return append(sends, Send{Part: i, Attempt: len(p.attempts) - 1, Leaf: leaf, Until: r.end})
+}
+
+// mayRepeat reports whether the rules of the route allow another attempt at a part.
+func (r *Run) mayRepeat(p *part) bool {
+	ran := 0
+	for i := range p.attempts {
+		if a := &p.attempts[i]; !a.ended || a.ran {
+			ran++
+		}
+	}
+	if ran > 0 && !r.route.Repeatable {
+		return false
+	}
+	return ran < r.route.MaxAttempts && len(p.attempts) < r.route.MaxAttempts+unsentAttempts
+}
+
+// pending returns the attempt that was started last and has not ended, or nil.
+func (p *part) pending() *attempt {
+	for i := len(p.attempts) - 1; i >= 0; i-- {
+		if !p.attempts[i].ended {
+			return &p.attempts[i]
+		}
+	}
+	return nil
+}
+
+// arrived reports whether an attempt may have reached a leaf.
+func (p *part) arrived() bool {
+	for i := range p.attempts {
+		if !p.attempts[i].ended || p.attempts[i].sent {
+			return true
+		}
+	}
+	return false
+}
+
+// Ended takes the end of an attempt.
+func (r *Run) Ended(i, n int, end AttemptEnd) {
+	p := &r.parts[i]
+	a := &p.attempts[n]
+	a.ended, a.sent, a.ran, a.err = true, end.Sent, end.Ran(), end.Err
+	if end.Reply != nil {
+		a.status = end.Reply.Status
+	}
+	r.ran = r.ran || a.ran
+	if !a.ran {
+		// The hedge was not run, so a slow attempt may be hedged again.
+		for j := range p.attempts {
+			p.attempts[j].hedged = false
+		}
+	}
+	if end.Reply != nil && end.Reply.Succeeded() {
+		if p.reply == nil {
+			p.reply = end.Reply
+			r.answered++
+		}
+		return
+	}
+	// A reply says more than a broken connection.
+	if p.failure == nil || end.Reply != nil || p.failure.Reply == nil {
+		p.failure = &end
+	}
+}
+
+// enough reports whether the parts that are in make an answer.
+func (r *Run) enough() bool {
+	return r.answered > 0 && float64(r.answered) >= r.route.MinCoverage*float64(len(r.parts))-coverageSlack
+}
+
+// hopeless reports whether so many parts have failed that no answer can come of the request.
+func (r *Run) hopeless() bool {
+	left := 0
+	for i := range r.parts {
+		if !r.parts[i].failed {
+			left++
+		}
+	}
+	return left == 0 || float64(left) < r.route.MinCoverage*float64(len(r.parts))-coverageSlack
+}
+
+// Waiting lists the services that the request waits for because no leaf has room.
+func (r *Run) Waiting() []model.ServiceName {
+	var out []model.ServiceName
+	for i := range r.parts {
+		if p := &r.parts[i]; p.waiting && p.reply == nil && !p.failed {
+			out = append(out, p.service)
+		}
+	}
+	return out
+}
+
+// finish returns the response once there is one.
+func (r *Run) finish(now time.Time, open bool) *Response {
+	switch {
+	case r.answered == len(r.parts):
+		return r.answer("all parts are in")
+	case !open && r.enough() && r.route.Gathers():
+		return r.answer("the other parts have failed")
+	case !open || r.hopeless():
+		return r.failure()
+	case r.route.Gathers() && r.enough() && !now.Before(r.answerBy):
+		return r.answer("the objective is reached")
+	case !r.sent && !now.Before(r.refuseAt):
+		return r.refuse("no leaf has room")
+	case !now.Before(r.end):
+		if !r.mayHaveRun() {
+			return r.refuse("no leaf could run it in time")
+		}
+		return &Response{Kind: KindTimeout, Missing: len(r.parts) - r.answered, Reason: "the time is over"}
+	}
+	return nil
+}
+
+func (r *Run) answer(reason string) *Response {
+	if !r.route.Gathers() {
+		return &Response{Kind: KindLeaf, Reply: r.parts[0].reply, Reason: reason}
+	}
+	out := &Response{Kind: KindMerged, Missing: len(r.parts) - r.answered, Reason: reason}
+	bodies := make([][]byte, 0, r.answered)
+	for i := range r.parts {
+		if p := &r.parts[i]; p.reply != nil {
+			out.Signatures = append(out.Signatures, p.reply.Signature)
+			bodies = append(bodies, p.reply.Body)
+		}
+	}
+	out.Body = Merge(bodies, r.route.TopRecords)
+	return out
+}
+
+// mayHaveRun reports whether a leaf has run the request or still may.
+func (r *Run) mayHaveRun() bool {
+	if r.ran {
+		return true
+	}
+	for i := range r.parts {
+		if r.parts[i].pending() != nil {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Run) failure() *Response {
+	if !r.mayHaveRun() {
+		return r.refuse("no leaf ran it")
+	}
+	if p := &r.parts[0]; !r.route.Gathers() && p.failure != nil && p.failure.Reply != nil && !p.failure.Reply.NotRun {
+		return &Response{Kind: KindLeaf, Reply: p.failure.Reply, Reason: "the leaf failed"}
+	}
+	return &Response{Kind: KindFailed, Missing: len(r.parts) - r.answered, Reason: "no leaf gave a usable reply"}
+}
+
+// refusalPause is when a refused caller may come back: long enough for a leaf's queue to shorten.
+const refusalPause = 50 * time.Millisecond
+
+func (r *Run) refuse(reason string) *Response {
+	return &Response{Kind: KindRefused, RetryAfter: refusalPause, Missing: len(r.parts), Reason: reason}
+}
+
+// Pending lists the attempts that are still unanswered.
+func (r *Run) Pending() (out []Send) {
+	for i := range r.parts {
+		for n := range r.parts[i].attempts {
+			if a := &r.parts[i].attempts[n]; !a.ended {
+				out = append(out, Send{Part: i, Attempt: n, Leaf: a.leaf})
+			}
+		}
+	}
+	return out
+}
+
+// Attempts returns how many attempts were started, and Answered how many parts have their reply.
+func (r *Run) Attempts() (n int) {
+	for i := range r.parts {
+		n += len(r.parts[i].attempts)
+	}
+	return n
+}
+
+// Answered returns how many parts are in, and of how many.
+func (r *Run) Answered() (in, of int) { return r.answered, len(r.parts) }
+
+// Describe lists the attempts at the parts without a reply: the service, and for each leaf the age of its last news
+// here, the time since the attempt and how it ended.
+func (r *Run) Describe(now time.Time) string {
+	var b strings.Builder
+	for i := range r.parts {
+		p := &r.parts[i]
+		if p.reply != nil {
+			continue
+		}
+		fmt.Fprintf(&b, "%s[", p.service)
+		for n := range p.attempts {
+			a := &p.attempts[n]
+			fmt.Fprintf(&b, " %s@%s after %dms: %s", a.leaf.ID, a.leaf.Address, now.Sub(a.started).Milliseconds(), a.outcome())
+		}
+		if p.waiting {
+			b.WriteString(" no leaf has room")
+		}
+		if p.exhausted {
+			b.WriteString(" repeat budget used up")
+		}
+		b.WriteString(" ] ")
+	}
+	return strings.TrimSpace(b.String())
+}
+
+func (a *attempt) outcome() string {
+	switch {
+	case !a.ended:
+		return "unanswered"
+	case a.err != nil:
+		return a.err.Error()
+	case !a.ran:
+		return "not run"
+	}
+	return fmt.Sprintf("status %d", a.status)
+}
--- /dev/null
+++ b/internal/forward/tracker.go
@@ -0,0 +1,274 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
+	"github.com/chestnuttiller/chestnuttiller/internal/model"
+)
+
+const (
+	// paceWeight is the weight of a new observation in the moving averages of a leaf, which follow about the last ten.
+	paceWeight = 0.1
+	// loadMaxAge is how long a load report counts. Leaves answer several times within it under usual traffic.
+	loadMaxAge = 300 * time.Millisecond
+	// stallFactor times the expected latency is the age of an unanswered attempt from which on its leaf counts as
+	// stalled: twice is beyond nearly all of the spread of usual work.
+	stallFactor = 2
+	// farPenalty prices an answer from another availability zone, which costs bytes between zones besides its delay.
+	farPenalty = 1.25
+	// warmPenalty is how much slower a leaf is expected to be until it is warm.
+	warmPenalty = 1.6
+	// failurePenalty scales the expected latency of a leaf by its share of failures.
+	failurePenalty = 6
+	// spread randomizes the choice between leaves of nearly the same expectation, so that VMs do not all choose one.
+	spread = 0.1
+	// ejectAfter is the number of failures in a row that ejects a leaf. An unopened connection ejects at once.
+	ejectAfter = 3
+	// ejectMin and ejectMax bound the time for which a leaf is ejected, which doubles each time.
+	ejectMin = 300 * time.Millisecond
+	ejectMax = 5 * time.Second
+	// shedPause is how long a leaf that shed a request counts as full.
+	shedPause = 30 * time.Millisecond
+	// hedgeLimit is the part of the objective that an attempt may take before it is hedged: a second attempt needs
+	// about as much time as the first.
+	hedgeLimit = 0.4
+	// latencyWindow is how long latencies count towards quantiles, in two halves.
+	latencyWindow = 10 * time.Second
+	// latencyMax bounds the latencies that are told apart.
+	latencyMax = time.Minute
+	// latencyMinSamples is the number of latencies from which on a quantile is used.
+	latencyMinSamples = 20
+)
+
+// leafKey names one incarnation of a leaf at one address.
+type leafKey struct {
+	id      string
+	bornMS  int64
+	address string
+}
+
+func keyOf(m *leaves.Member) leafKey { return leafKey{m.ID, m.BornMS, m.Address} }
+
+type leafStats struct {
+	// pace is the latency relative to what is usual for the route. It is 0 before the first answer.
+	pace     float64
+	failures float64
+	inRow    int
+	started  []time.Time
+	load     Load
+	loadAt   time.Time
+	// shedUntil and ejectedUntil keep requests away for a while. ejections counts those without a success since.
+	shedUntil, ejectedUntil time.Time
+	ejections               int
+	used                    time.Time
+}
+
+type latencies struct {
+	current, previous *hdrhistogram.Histogram
+	since             time.Time
+}
+
+// TrackerOptions are the settings of a tracker.
+type TrackerOptions struct {
+	Zone          model.AvailabilityZone
+	HedgeQuantile float64
+}
+
+// Tracker keeps what this VM observes of leaves, and chooses among them. It is not safe for concurrent use.
+type Tracker struct {
+	options TrackerOptions
+	random  *rand.Rand
+	leaves  map[leafKey]*leafStats
+	routes  map[string]*latencies
+}
+
+// NewTracker returns a tracker without observations.
+func NewTracker(o TrackerOptions, random *rand.Rand) *Tracker {
+	return &Tracker{options: o, random: random, leaves: map[leafKey]*leafStats{}, routes: map[string]*latencies{}}
+}
+
+func (t *Tracker) stats(m *leaves.Member) *leafStats {
+	k := keyOf(m)
+	s := t.leaves[k]
+	if s == nil {
+		s = &leafStats{}
+		t.leaves[k] = s
+	}
+	return s
+}
+
+// Choose returns the leaf that is expected to answer first among those that were not tried and have room, or nil.
+// Ejected leaves are chosen only when there is no other, or for a single trial once their time is over.
+func (t *Tracker) Choose(now time.Time, route string, list, tried []*leaves.Member, room func(*leaves.Member) int) *leaves.Member {
+	var best, ejected *leaves.Member
+	var bestCost float64
+	usual := t.usual(route)
+	for _, m := range list {
+		if slices.ContainsFunc(tried, func(x *leaves.Member) bool { return x.ID == m.ID }) || room(m) <= 0 {
+			continue
+		}
+		s := t.stats(m)
+		if now.Before(s.ejectedUntil) || s.ejections > 0 && len(s.started) > 0 {
+			if ejected == nil || s.ejectedUntil.Before(t.stats(ejected).ejectedUntil) {
+				ejected = m
+			}
+			continue
+		}
+		if cost := t.cost(now, m, s, usual); best == nil || cost < bestCost {
+			best, bestCost = m, cost
+		}
+	}
+	if best == nil {
+		return ejected
+	}
+	return best
+}
+
+// cost is the expected latency, in units of the usual latency of the route.
+func (t *Tracker) cost(now time.Time, m *leaves.Member, s *leafStats, usual time.Duration) float64 {
+	pace := s.pace
+	if pace == 0 {
+		pace = 1
+	}
+	slots := max(m.Slots, 1)
+	busy := float64(len(s.started))
+	if now.Sub(s.loadAt) < loadMaxAge {
+		busy = max(busy, float64(s.load.Running+s.load.Waiting))
+		if s.load.Pace > 1 {
+			pace = max(pace, s.load.Pace)
+		}
+	}
+	if now.Before(s.shedUntil) {
+		busy = max(busy, float64(2*slots))
+	}
+	// Work in the slots slows a leaf a little, and work behind them has to wait for a slot.
+	cost := pace * (1 + 0.25*busy/float64(slots) + max(0, busy+1-float64(slots))/float64(slots))
+	if len(s.started) > 0 {
+		if age := now.Sub(s.started[0]); float64(age) > stallFactor*pace*float64(usual) {
+			cost += float64(age) / float64(usual)
+		}
+	}
+	if m.AvailabilityZone != t.options.Zone {
+		cost *= farPenalty
+	}
+	if now.Before(m.WarmAt) {
+		cost *= warmPenalty
+	}
+	cost *= 1 + failurePenalty*s.failures
+	return cost * (1 + spread*t.random.Float64())
+}
+
+// Begin notes the start of an attempt.
+func (t *Tracker) Begin(now time.Time, m *leaves.Member) {
+	s := t.stats(m)
+	s.started = append(s.started, now)
+	s.used = now
+}
+
+// Done notes the end of an attempt that began at a time. Cancelled attempts say nothing of the leaf.
+func (t *Tracker) Done(now time.Time, route string, m *leaves.Member, began time.Time, end *AttemptEnd, cancelled bool) {
+	s := t.stats(m)
+	if i := slices.Index(s.started, began); i >= 0 {
+		s.started = slices.Delete(s.started, i, i+1)
+	}
+	r := end.Reply
+	if r != nil && r.Load != nil {
+		s.load, s.loadAt = *r.Load, now
+	}
+	switch {
+	case cancelled && r == nil:
+	case r != nil && r.WrongLeaf:
+		t.eject(now, s, ejectMax)
+	case r != nil && r.NotRun:
+		s.shedUntil = now.Add(shedPause)
+	case r != nil && r.Succeeded():
+		s.inRow, s.ejections = 0, 0
+		s.failures *= 1 - paceWeight
+		t.observe(now, route, s, end.Latency)
+	default:
+		s.inRow++
+		s.failures += paceWeight * (1 - s.failures)
+		if end.Refused || s.inRow >= ejectAfter {
+			t.eject(now, s, min(ejectMin<<min(s.ejections, 10), ejectMax))
+		}
+	}
+}
+
+func (t *Tracker) eject(now time.Time, s *leafStats, d time.Duration) {
+	s.ejections++
+	s.inRow = 0
+	s.ejectedUntil = now.Add(d)
+}
+
+func (t *Tracker) observe(now time.Time, route string, s *leafStats, latency time.Duration) {
+	usual := t.usual(route)
+	l := t.routes[route]
+	if l == nil {
+		l = &latencies{current: newHistogram(), previous: newHistogram(), since: now}
+		t.routes[route] = l
+	}
+	if now.Sub(l.since) > latencyWindow/2 {
+		l.current, l.previous = l.previous, l.current
+		l.current.Reset()
+		l.since = now
+	}
+	// Values beyond the bound count as the bound.
+	if err := l.current.RecordValue(min(latency, latencyMax).Microseconds()); err != nil {
+		return
+	}
+	pace := float64(latency) / float64(usual)
+	if s.pace == 0 {
+		s.pace = pace
+	}
+	s.pace += paceWeight * (min(pace, 10) - s.pace)
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, latencyMax.Microseconds(), 2)
+}
+
+// defaultLatency stands for the usual latency of a route before there are enough observations.
+const defaultLatency = 25 * time.Millisecond
+
+func (t *Tracker) usual(route string) time.Duration {
+	if d, ok := t.quantile(route, 50); ok {
+		return d
+	}
+	return defaultLatency
+}
+
+func (t *Tracker) quantile(route string, percent float64) (time.Duration, bool) {
+	l := t.routes[route]
+	if l == nil || l.current.TotalCount()+l.previous.TotalCount() < latencyMinSamples {
+		return 0, false
+	}
+	a, b := l.current, l.previous
+	if a.TotalCount() < latencyMinSamples || b.TotalCount() > a.TotalCount() {
+		a = b
+	}
+	return max(time.Duration(a.ValueAtQuantile(percent))*time.Microsecond, time.Millisecond), true
+}
+
+// HedgeAfter returns the delay after which an attempt on a route is hedged. A part of the objective stands for the
+// quantile before it is known, and bounds it, because a later hedge would answer too late.
+func (t *Tracker) HedgeAfter(route string, objective time.Duration) time.Duration {
+	limit := time.Duration(hedgeLimit * float64(objective))
+	if d, ok := t.quantile(route, 100*t.options.HedgeQuantile); ok {
+		return min(d, limit)
+	}
+	return limit
+}
+
+// Forget drops the observations of leaves that were not used since a time.
+func (t *Tracker) Forget(before time.Time) {
+	for k, s := range t.leaves {
+		if len(s.started) == 0 && s.used.Before(before) {
+			delete(t.leaves, k)
+		}
+	}
+}
