Discover control VMs from seeds and replace lost voters

Cause: peers, initial members and control VMs came from settings that name every VM; the users' platform gives three addresses, and machines come and go. Change: [discovery] seeds name the first control VMs by their IP addresses, peers can be added while a process runs, the first group forms from the seeds, a caught-up learner takes the place of a voter that is silent for replace_after, a damaged control folder can be set aside, SIGHUP reads the settings again, logs can go to standard output. [vm] traffic selects the modules for queries or for routes. Ruled out: a second control plane beside the log.

--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -4,9 +4,11 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/spf13/cobra"
 
@@ -25,7 +27,7 @@
 			if err != nil {
 				return err
 			}
-			return runKernel(cmd.Context(), s)
+			return runKernel(cmd.Context(), s, path)
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", "chestnuttiller.ini", "settings file of this process")
@@ -33,11 +35,17 @@
 }
 
 // runKernel runs a process until a signal or a failure ends it. SIGTERM and SIGINT drain it; a second signal
-// changes nothing, since the limit for the whole shutdown is a setting.
-func runKernel(ctx context.Context, s *settings.Settings) error {
+// changes nothing, since the limit for the whole shutdown is a setting. SIGHUP reads the settings file again.
+func runKernel(ctx context.Context, s *settings.Settings, path string) error {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
+	if mb := s.Int("vm", "memory_limit_mb"); mb > 0 {
+		debug.SetMemoryLimit(int64(mb) << 20)
+	}
 	k, err := kernel.New(s)
 	if err != nil {
 		return err
@@ -48,11 +56,17 @@
 	}
 	_ = level.Info(logger).Log("msg", "process started", "availability_zone", s.AvailabilityZone)
 	var failure error
-	select {
-	case sig := <-signals:
-		_ = level.Info(logger).Log("msg", "process is draining", "signal", sig, "limit", s.DrainLimit)
-	case failure = <-k.Failed():
-		_ = level.Error(logger).Log("msg", "process ends because of a failure", "err", failure)
+	for running := true; running; {
+		select {
+		case <-reloads:
+			reload(k, path, logger)
+		case sig := <-signals:
+			running = false
+			_ = level.Info(logger).Log("msg", "process is draining", "signal", sig, "limit", s.DrainLimit)
+		case failure = <-k.Failed():
+			running = false
+			_ = level.Error(logger).Log("msg", "process ends because of a failure", "err", failure)
+		}
 	}
 	limit, cancel := context.WithTimeout(ctx, s.DrainLimit)
 	defer cancel()
@@ -61,3 +75,16 @@
 	}
 	return errors.CombineErrors(failure, k.Stop(limit))
 }
+
+// reload hands the settings file to the modules again. A file that cannot be read changes nothing.
+func reload(k *kernel.Kernel, path string, logger log.Logger) {
+	s, err := settings.Load(path, kernel.SettingsKeys())
+	if err == nil {
+		err = k.Reload(s)
+	}
+	if err != nil {
+		_ = level.Error(logger).Log("msg", "settings not reloaded; the process goes on with those that it has", "file", path, "err", err)
+		return
+	}
+	_ = level.Info(logger).Log("msg", "settings reloaded; new seeds are taken over, everything else needs a restart", "file", path)
+}
--- a/internal/consensus/members.go
+++ b/internal/consensus/members.go
@@ -152,13 +152,14 @@
 	}
 	for _, m := range members {
 		replaced := !m.Learner && newest[m.VM] != m.Replica
-		if m.Replica != n.cfg.Replica && (replaced || n.retired(m)) && n.quorumHeardWithout(m) {
+		surplus := n.lost(m) && len(n.voters()) > n.cfg.MaxVoters
+		if m.Replica != n.cfg.Replica && (replaced || surplus || n.retired(m)) && n.quorumHeardWithout(m) {
 			return Change{Kind: Remove, Member: m}, true
 		}
 	}
 	for _, m := range members {
 		_, replaces := newest[m.VM]
-		room := replaces || n.cfg.MaxVoters == 0 || len(n.voters()) < n.cfg.MaxVoters
+		room := replaces || n.cfg.MaxVoters == 0 || len(n.voters()) < n.cfg.MaxVoters || slices.ContainsFunc(members, n.lost)
 		if m.Learner && room && n.caughtUp(m.Replica) && n.quorumHeardWith(m.Replica) {
 			return Change{Kind: Promote, Member: m}, true
 		}
@@ -185,6 +186,11 @@
 	return n.heardVoters(removed.Replica) >= (len(n.voters())-1)/2+1
 }
 
+// lost reports whether a voter has been silent for so long that a learner takes its place.
+func (n *Node) lost(m Member) bool {
+	return !m.Learner && m.Replica != n.cfg.Replica && n.cfg.ReplaceTicks > 0 && n.progress[m.Replica].silentTicks >= n.cfg.ReplaceTicks
+}
+
 func (n *Node) retired(m Member) bool {
 	return n.cfg.Retired != nil && n.cfg.Retired(m.VM) && !n.heard(n.progress[m.Replica])
 }
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -237,6 +237,9 @@
 	Random        *rand.Rand
 	// MaxVoters bounds the voters. Further members stay learners until a voter is removed. 0 means no bound.
 	MaxVoters int
+	// ReplaceTicks is the silence of a voter after which a learner that has caught up takes its place, so that the
+	// group can bear the next loss. 0 means never.
+	ReplaceTicks int
 	// Retired reports that a VM is no longer meant to be a control VM. A leader removes its replica once that is
 	// silent. Nil means that no VM is.
 	Retired func(model.VMName) bool
--- a/internal/kernel/interfaces.go
+++ b/internal/kernel/interfaces.go
@@ -1,6 +1,7 @@
 package kernel
 
 import (
+	"bufio"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -9,7 +10,11 @@
 	"github.com/go-kit/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/chestnuttiller/chestnuttiller/internal/forward"
+	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
+	"github.com/chestnuttiller/chestnuttiller/internal/routes"
+	"github.com/chestnuttiller/chestnuttiller/internal/settings"
 )
 
 // Capability names an interface that a module provides to others.
@@ -34,6 +39,11 @@
 	CapReplicatedState Capability = "replicated_state"
 	CapStateMachine    Capability = "state_machine"
 	CapLoadTracker     Capability = "load_tracker"
+	CapRoutePublisher  Capability = "route_publisher"
+	CapLeafRegistry    Capability = "leaf_registry"
+	CapForwarder       Capability = "forwarder"
+	CapLeafTransport   Capability = "leaf_transport"
+	CapLeafProtocol    Capability = "leaf_protocol"
 )
 
 // LogSink writes log lines without blocking.
@@ -167,6 +177,8 @@
 	VM               model.VMName
 	AvailabilityZone model.AvailabilityZone
 	Connected        bool
+	// Control says that the VM has the role control.
+	Control bool
 	// Incarnation and AnnounceURL come from the VM's hello; they are zero while it is not connected.
 	Incarnation uint64
 	AnnounceURL string
@@ -181,8 +193,10 @@
 	Call(ctx context.Context, to model.VMName, m PeerMessage) ([]byte, error)
 	// Send queues a message without waiting. It is dropped when the VM is not reachable or its queue is full.
 	Send(to model.VMName, m PeerMessage) bool
-	// Peers lists the other VMs that the settings name.
+	// Peers lists the other VMs that the settings name or that were added.
 	Peers() []PeerStatus
+	// AddPeer adds a VM that was discovered. A VM that is known already, or is this one, changes nothing.
+	AddPeer(p settings.Peer)
 	// OnChange registers a function that is called, on its own goroutine, when a VM connects or disconnects.
 	OnChange(fn func(PeerStatus))
 }
@@ -241,6 +255,60 @@
 	Read(ctx context.Context, query StateQuery) (StateAnswer, error)
 }
 
+// EncodedControlClient takes entries and reads to the control group that a state machine encodes itself.
+type EncodedControlClient interface {
+	ProposeEncoded(ctx context.Context, data []byte) ([]byte, error)
+	ReadEncoded(ctx context.Context, data []byte) ([]byte, error)
+}
+
+// RouteState is the replicated state of a system that serves routes, on control VMs.
+type RouteState interface {
+	// Table returns the table in force, or nil. It is called on the control goroutine.
+	Table() *routes.Table
+}
+
+// RoutesChanged is an event for the control goroutine: the control log put another table into force on this VM.
+type RoutesChanged struct{ Table *routes.Table }
+
+// RoutePublisher makes a route table the one in force, on control VMs.
+type RoutePublisher interface {
+	// Publish returns once the table, or one with a higher version, is committed, and returns the version in
+	// force. An error of kind outcome_unknown says that the table may still come into force.
+	Publish(ctx context.Context, p routes.Publication) (routes.Version, error)
+	// Newest returns what was published last, confirmed by a quorum.
+	Newest(ctx context.Context) (routes.Publication, error)
+}
+
+// LeafRegistry takes what leaves say of themselves, on control VMs. A refusal is a typed error.
+type LeafRegistry interface {
+	Heartbeat(ctx context.Context, l leaves.Leaf) error
+	// SignOff ends a leaf. Without a start time, bornMS is 0.
+	SignOff(ctx context.Context, id string, bornMS int64) error
+}
+
+// Forwarder answers requests that are routed by host and path.
+type Forwarder interface {
+	Forward(ctx context.Context, req *forward.Request) *forward.Response
+}
+
+// LeafProtocol is what leaves speak on a connection. It keeps no state.
+type LeafProtocol interface {
+	// AppendRequest appends the bytes of a request to dst.
+	AppendRequest(dst []byte, req *forward.LeafRequest) []byte
+	// ReadReply reads one reply. Reusable says that the connection can carry another request. An error says
+	// that there is no whole reply.
+	ReadReply(r *bufio.Reader, req *forward.LeafRequest) (reply *forward.LeafReply, reusable bool, err error)
+}
+
+// LeafTransport carries attempts to leaves over warm connections.
+type LeafTransport interface {
+	// Send starts an attempt and calls done once, from another goroutine, with its end. Cancel ends the attempt early
+	// and closes its connection; done is still called.
+	Send(l *leaves.Member, req *forward.LeafRequest, done func(forward.AttemptEnd)) (cancel func())
+	// Room returns how many more attempts the connections to a leaf can take now.
+	Room(l *leaves.Member) int
+}
+
 // Command is a typed command of package state, such as state.ApplyConfig. The module control.log encodes it.
 type Command interface{}
 
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -164,6 +164,17 @@
 	return nil
 }
 
+// Reload hands changed settings to the modules that can take them over.
+func (k *Kernel) Reload(s *settings.Settings) error {
+	var all error
+	for _, m := range k.modules {
+		if r, ok := m.module.(Reloader); ok {
+			all = errors.CombineErrors(all, errors.Wrapf(r.Reload(s), "module %s", m.info.ID))
+		}
+	}
+	return all
+}
+
 // Failed delivers the error that ends the process.
 func (k *Kernel) Failed() <-chan error { return k.failures }
 
--- a/internal/kernel/module.go
+++ b/internal/kernel/module.go
@@ -33,6 +33,11 @@
 // the dependency order, so callers are drained before what serves them.
 type Drainer interface{ Drain(context.Context) error }
 
+// Reloader is implemented by modules that take over changed settings while they run.
+type Reloader interface {
+	Reload(*settings.Settings) error
+}
+
 // Stopper is implemented by modules that hold resources. It runs in the reverse of the dependency order.
 type Stopper interface{ Stop(context.Context) error }
 
@@ -52,8 +57,18 @@
 	Enabled func(*settings.Settings) bool
 }
 
-// ForRole is an Enabled function for modules that belong to processes with one role.
+// ForRole is an Enabled function for modules that belong to processes with one role, where the system serves queries.
 func ForRole(role string) func(*settings.Settings) bool {
+	return func(s *settings.Settings) bool { return s.HasRole(role) && s.Traffic == settings.TrafficQueries }
+}
+
+// ForRoutes is ForRole where the system serves routes.
+func ForRoutes(role string) func(*settings.Settings) bool {
+	return func(s *settings.Settings) bool { return s.HasRole(role) && s.Traffic == settings.TrafficRoutes }
+}
+
+// ForAnyTraffic is ForRole whatever the system serves.
+func ForAnyTraffic(role string) func(*settings.Settings) bool {
 	return func(s *settings.Settings) bool { return s.HasRole(role) }
 }
 
--- a/internal/kernel/view.go
+++ b/internal/kernel/view.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
+	"github.com/chestnuttiller/chestnuttiller/internal/routes"
 )
 
 // View is the control state as traffic goroutines see it. A view is never changed after its publication; each
@@ -25,6 +27,12 @@
 	Seat model.Seat
 	// Directory holds the targets with live leases.
 	Directory *Directory
+	// Routes is the route table in force, or nil before one is known.
+	Routes *routes.Table
+	// Leaves holds the leaves that requests may be sent to, or nil before any control VM has answered.
+	Leaves *leaves.Index
+	// EntryVMs is how many entry VMs share the connections to leaves, this VM included. It is 0 while unknown.
+	EntryVMs int
 }
 
 // Directory is the immutable set of targets with live leases.
--- a/internal/modules/admission/open.go
+++ b/internal/modules/admission/open.go
@@ -28,7 +28,7 @@
 
 func enabled(policy string) func(*settings.Settings) bool {
 	return func(s *settings.Settings) bool {
-		return s.HasRole(settings.RoleEntry) && s.String(section, policyKey) == policy
+		return kernel.ForRole(settings.RoleEntry)(s) && s.String(section, policyKey) == policy
 	}
 }
 
--- a/internal/modules/controlclient/controlclient_test.go
+++ b/internal/modules/controlclient/controlclient_test.go
@@ -14,6 +14,7 @@
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
 	"github.com/chestnuttiller/chestnuttiller/internal/modules/statemachine"
+	"github.com/chestnuttiller/chestnuttiller/internal/settings"
 	"github.com/chestnuttiller/chestnuttiller/internal/state"
 )
 
@@ -47,7 +48,7 @@
 	for _, name := range []model.VMName{"c1", "c2", "c3", "entry"} {
 		v := &vm{group: g, name: name, handlers: map[string]kernel.PeerHandler{}}
 		v.client = &Module{
-			self: name, peers: v, controls: []model.VMName{"c1", "c2", "c3"},
+			self: name, peers: v,
 			logger: log.NewNopLogger(), scope: tally.NoopScope,
 			wait: func(ctx context.Context, _ time.Duration) error { return ctx.Err() },
 		}
@@ -100,8 +101,17 @@
 }
 
 func (v *vm) Send(model.VMName, kernel.PeerMessage) bool { return false }
-func (v *vm) Peers() []kernel.PeerStatus                 { return nil }
-func (v *vm) OnChange(func(kernel.PeerStatus))           {}
+func (v *vm) AddPeer(settings.Peer)                      {}
+func (v *vm) Peers() []kernel.PeerStatus {
+	var out []kernel.PeerStatus
+	for _, name := range []model.VMName{"c1", "c2", "c3"} {
+		if name != v.name {
+			out = append(out, kernel.PeerStatus{VM: name, Control: true})
+		}
+	}
+	return out
+}
+func (v *vm) OnChange(func(kernel.PeerStatus)) {}
 
 func change(t *testing.T, id string, basedOn model.Revision) state.ApplyConfig {
 	base, err := os.ReadFile("../../../examples/sfax/base.ini")
--- a/internal/modules/controlclient/handler.go
+++ b/internal/modules/controlclient/handler.go
@@ -43,6 +43,15 @@
 	return payload, certain(err)
 }
 
+func (m *Module) proposeEncodedHere(ctx context.Context, data []byte) ([]byte, error) {
+	payload, err := m.log.Propose(ctx, data)
+	return payload, certain(err)
+}
+
+func (m *Module) readEncodedHere(ctx context.Context, data []byte) ([]byte, error) {
+	return m.log.Read(ctx, data)
+}
+
 func (m *Module) readHere(ctx context.Context, data []byte) ([]byte, error) {
 	if _, err := statecodec.DecodeQuery(data); err != nil {
 		return nil, err
--- a/internal/modules/controlclient/module.go
+++ b/internal/modules/controlclient/module.go
@@ -24,6 +24,9 @@
 const (
 	KindPropose = "control.propose"
 	KindRead    = "control.read"
+	// The encoded kinds carry entries and reads of a state machine that encodes them itself.
+	KindProposeEncoded = "control.propose_encoded"
+	KindReadEncoded    = "control.read_encoded"
 )
 
 const (
@@ -60,10 +63,9 @@
 	self  model.VMName
 	peers kernel.PeerTransport
 	// log is the local replica. It is nil on VMs without the control role.
-	log      kernel.ControlLog
-	controls []model.VMName
-	logger   log.Logger
-	scope    tally.Scope
+	log    kernel.ControlLog
+	logger log.Logger
+	scope  tally.Scope
 	// leader is the VM that answered last as the leader, or that others named.
 	leader atomic.Pointer[model.VMName]
 	wait   func(ctx context.Context, d time.Duration) error
@@ -77,24 +79,34 @@
 	}
 	m.self, m.peers, m.wait = ctx.VM.VM, peers, kernel.Wait
 	m.logger, m.scope = ctx.Logger("control_client"), ctx.Scope("control_client")
-	for _, p := range ctx.Settings.Peers {
-		if p.HasRole(settings.RoleControl) {
-			m.controls = append(m.controls, p.Name)
-		}
-	}
 	if ctx.Settings.HasRole(settings.RoleControl) {
 		m.log, err = kernel.Lookup[kernel.ControlLog](ctx)
 		if err != nil {
 			return err
 		}
-		m.controls = append(m.controls, m.self)
 		peers.Handle(KindPropose, m.handle(m.proposeHere))
 		peers.Handle(KindRead, m.handle(m.readHere))
+		peers.Handle(KindProposeEncoded, m.handle(m.proposeEncodedHere))
+		peers.Handle(KindReadEncoded, m.handle(m.readEncodedHere))
 	}
-	slices.Sort(m.controls)
 	return nil
 }
 
+// controls returns the control VMs that are known, this VM included, in the order of their names.
+func (m *Module) controls() []model.VMName {
+	var out []model.VMName
+	for _, p := range m.peers.Peers() {
+		if p.Control {
+			out = append(out, p.VM)
+		}
+	}
+	if m.log != nil {
+		out = append(out, m.self)
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Propose implements kernel.ControlClient.
 func (m *Module) Propose(ctx context.Context, command kernel.Command) (kernel.CommandResult, error) {
 	data, err := statecodec.EncodeCommand(command)
@@ -115,6 +127,16 @@
 	return result, nil
 }
 
+// ProposeEncoded implements kernel.EncodedControlClient. The errors are those of Propose.
+func (m *Module) ProposeEncoded(ctx context.Context, data []byte) ([]byte, error) {
+	return m.send(ctx, call{kind: KindProposeEncoded, data: data, local: m.proposeEncodedHere})
+}
+
+// ReadEncoded implements kernel.EncodedControlClient. The errors are those of Read.
+func (m *Module) ReadEncoded(ctx context.Context, data []byte) ([]byte, error) {
+	return m.send(ctx, call{kind: KindReadEncoded, data: data, repeatable: true, local: m.readEncodedHere})
+}
+
 // Read implements kernel.ControlClient.
 func (m *Module) Read(ctx context.Context, query kernel.StateQuery) (kernel.StateAnswer, error) {
 	data, err := statecodec.EncodeQuery(query)
--- a/internal/modules/controlclient/send.go
+++ b/internal/modules/controlclient/send.go
@@ -95,8 +95,9 @@
 	tried := map[model.VMName]bool{}
 	next := m.hint()
 	var last error
-	for range m.controls {
-		vm, ok := m.choose(next, tried)
+	controls := m.controls()
+	for range controls {
+		vm, ok := m.choose(controls, next, tried)
 		if !ok || ctx.Err() != nil {
 			break
 		}
@@ -132,9 +133,9 @@
 
 // choose returns the preferred control VM, or else the next one in order that was not asked yet. The order
 // starts at this VM's own name, so that VMs without a hint spread over the control VMs.
-func (m *Module) choose(preferred model.VMName, tried map[model.VMName]bool) (model.VMName, bool) {
+func (m *Module) choose(controls []model.VMName, preferred model.VMName, tried map[model.VMName]bool) (model.VMName, bool) {
 	start := 0
-	for i, vm := range m.controls {
+	for i, vm := range controls {
 		if vm == preferred && !tried[vm] {
 			return vm, true
 		}
@@ -142,8 +143,8 @@
 			start = i
 		}
 	}
-	for i := range m.controls {
-		if vm := m.controls[(start+i)%len(m.controls)]; !tried[vm] {
+	for i := range controls {
+		if vm := controls[(start+i)%len(controls)]; !tried[vm] {
 			return vm, true
 		}
 	}
--- a/internal/modules/controllog/bootstrap.go
+++ b/internal/modules/controllog/bootstrap.go
@@ -214,7 +214,7 @@
 // askToJoin asks the control VMs in turn, since only the leader can add a member.
 func (m *Module) askToJoin(request logcodec.JoinRequest) {
 	result := joinResultEvent{err: errs.New(errs.KindUnavailable, "name the control VMs as peers", "the settings name no other control VM")}
-	for _, vm := range m.options.controlVMs {
+	for _, vm := range m.controlVMs() {
 		data, err := m.call(vm, kindJoin, logcodec.EncodeJoinRequest(request))
 		if err == nil {
 			result.group, err = logcodec.DecodeJoinAnswer(data)
@@ -259,7 +259,7 @@
 		return nil, m.wrongCluster(request.Cluster)
 	case request.VM != from:
 		return nil, errs.New(errs.KindInvalid, "correct [vm] name", "VM %s asked to join as %s", from, request.VM)
-	case !slices.Contains(m.options.controlVMs, from):
+	case !m.ctx.Settings.Discovers && !slices.Contains(m.controlVMs(), from):
 		return nil, errs.New(errs.KindInvalid, "add the role control to [peer "+string(from)+"]", "the settings do not name %s as a control VM", from)
 	}
 	w := newWaiter()
--- a/internal/modules/controllog/fakes_test.go
+++ b/internal/modules/controllog/fakes_test.go
@@ -94,6 +94,7 @@
 // fakePeers is a transport in memory with one queue for each receiver.
 type fakePeers struct {
 	vm       model.VMName
+	peers    []settings.Peer
 	network  *network
 	handlers map[string]kernel.PeerHandler
 	queue    chan func()
@@ -101,7 +102,7 @@
 }
 
 func (f *fakePeers) Provision(ctx *kernel.Context) error {
-	f.vm, f.network = ctx.VM.VM, networkOf(ctx.Settings.Cluster)
+	f.vm, f.peers, f.network = ctx.VM.VM, ctx.Settings.Peers, networkOf(ctx.Settings.Cluster)
 	f.handlers, f.queue, f.quit = map[string]kernel.PeerHandler{}, make(chan func(), 1024), make(chan struct{})
 	return nil
 }
@@ -154,7 +155,15 @@
 	}
 }
 
-func (f *fakePeers) Peers() []kernel.PeerStatus       { return nil }
+func (f *fakePeers) Peers() []kernel.PeerStatus {
+	var out []kernel.PeerStatus
+	for _, p := range f.peers {
+		out = append(out, kernel.PeerStatus{VM: p.Name, Control: p.HasRole(settings.RoleControl)})
+	}
+	return out
+}
+
+func (f *fakePeers) AddPeer(p settings.Peer)          { f.peers = append(f.peers, p) }
 func (f *fakePeers) OnChange(func(kernel.PeerStatus)) {}
 
 // group is a control group in one process.
--- a/internal/modules/controllog/module.go
+++ b/internal/modules/controllog/module.go
@@ -31,7 +31,7 @@
 		Wants:    []kernel.Capability{kernel.CapLog, kernel.CapMetrics},
 		Provides: []kernel.Capability{kernel.CapControlLog},
 		Settings: keys,
-		Enabled:  kernel.ForRole(settings.RoleControl),
+		Enabled:  kernel.ForAnyTraffic(settings.RoleControl),
 	})
 }
 
@@ -115,6 +115,12 @@
 	}
 	m.lock = unlock
 	st, err := openStorage(fsys.OS{}, m.ctx.Settings, m.options.segmentBytes)
+	if errs.KindOf(err) == errs.KindCorrupt && m.options.rejoinOnDamage {
+		_ = level.Error(m.logger).Log("msg", "control folder set aside because it is damaged; this VM joins the control group as a new replica", "err", err)
+		if err = setAside(folder); err == nil {
+			st, err = openStorage(fsys.OS{}, m.ctx.Settings, m.options.segmentBytes)
+		}
+	}
 	if err != nil {
 		return err
 	}
@@ -166,6 +172,7 @@
 		MaxInflight:       m.options.maxInflight,
 		MaxUnappliedBytes: m.options.maxUnapplied,
 		MaxVoters:         m.options.maxVoters,
+		ReplaceTicks:      int(m.options.replaceAfter / m.options.tick),
 		ChunkBytes:        m.options.maxMessage,
 		RetainEntries:     m.options.retainEntries,
 		Random:            m.random(),
@@ -182,7 +189,18 @@
 
 // retired reports that the settings no longer name a VM as a control VM.
 func (m *Module) retired(vm model.VMName) bool {
-	return vm != m.identity.VM && !slices.Contains(m.options.controlVMs, vm)
+	return !m.ctx.Settings.Discovers && vm != m.identity.VM && !slices.Contains(m.controlVMs(), vm)
+}
+
+// controlVMs returns the other control VMs that are known.
+func (m *Module) controlVMs() []model.VMName {
+	var out []model.VMName
+	for _, p := range m.peers.Peers() {
+		if p.Control {
+			out = append(out, p.VM)
+		}
+	}
+	return out
 }
 
 // Drain implements kernel.Drainer. A leader hands leadership over, so that the group does not wait for an
--- a/internal/modules/controllog/settings.go
+++ b/internal/modules/controllog/settings.go
@@ -27,6 +27,10 @@
 	{Section: section, Name: "max_message_bytes", Kind: settings.KindInt, Default: "262144", Min: 1024, Max: 16 << 20, Help: "entries, or part of a snapshot, in one message"},
 	{Section: section, Name: "max_inflight", Kind: settings.KindInt, Default: "16", Min: 1, Max: 1024, Help: "unacknowledged messages to one member"},
 	{Section: section, Name: "max_voters", Kind: settings.KindInt, Default: "5", Min: 1, Max: 9, Help: "voters of the control group; further control VMs stay learners"},
+	{Section: section, Name: "form_group", Kind: settings.KindBool, Default: "false", Help: "on an empty data folder, form the first control group with the VMs at [discovery] seeds; true only when the whole system starts for the first time"},
+	{Section: section, Name: "tolerated_losses", Kind: settings.KindInt, Default: "0", Min: 0, Max: 4, Help: "control VMs that may be lost at once; above 0 it sets max_voters to twice that and one"},
+	{Section: section, Name: "replace_after", Kind: settings.KindDuration, Default: "0s", Max: 3600, Help: "silence of a voter after which a learner takes its place; 0 is never"},
+	{Section: section, Name: "rejoin_on_damage", Kind: settings.KindBool, Default: "false", Help: "set a damaged control folder aside and join the group as a new replica, instead of refusing to start"},
 	{Section: section, Name: "retry", Kind: settings.KindDuration, Default: "500ms", Min: 0.001, Max: 60, Help: "pause between attempts to form or join the group, or to allocate space on a full disk"},
 	{Section: section, Name: "call_timeout", Kind: settings.KindDuration, Default: "2s", Min: 0.01, Max: 60, Help: "limit for one call to another control VM"},
 }
@@ -47,6 +51,10 @@
 	retry           time.Duration
 	callTimeout     time.Duration
 	maxVoters       int
+	replaceAfter    time.Duration
+	rejoinOnDamage  bool
+	// formGroup says that an empty data folder is that of a first member.
+	formGroup bool
 	// controlVMs are the other control VMs that the settings name.
 	controlVMs []model.VMName
 }
@@ -66,6 +74,15 @@
 		maxVoters:       s.Int(section, "max_voters"),
 		retry:           s.Duration(section, "retry"),
 		callTimeout:     s.Duration(section, "call_timeout"),
+		replaceAfter:    s.Duration(section, "replace_after"),
+		rejoinOnDamage:  s.Bool(section, "rejoin_on_damage"),
+	}
+	if f := s.Int(section, "tolerated_losses"); f > 0 {
+		o.maxVoters = 2*f + 1
+	}
+	if s.Discovers {
+		o.initial = discoveredMembers(s)
+		o.formGroup = s.Bool(section, "form_group") && slices.Contains(o.initial, s.VM)
 	}
 	for _, name := range s.List(section, "initial_members") {
 		o.initial = append(o.initial, model.VMName(name))
@@ -78,6 +95,16 @@
 	return o
 }
 
+// discoveredMembers returns the VMs at the seeds, which form the first group. All VMs are given the same seeds at the
+// first start.
+func discoveredMembers(s *settings.Settings) []model.VMName {
+	var out []model.VMName
+	for _, p := range s.SeedPeers() {
+		out = append(out, p.Name)
+	}
+	return out
+}
+
 // entryRoomBytes is room for what an encoded entry holds besides its data.
 const entryRoomBytes = 4096
 
--- a/internal/modules/controllog/storage.go
+++ b/internal/modules/controllog/storage.go
@@ -1,6 +1,7 @@
 package controllog
 
 import (
+	"os"
 	"path/filepath"
 	"slices"
 
@@ -37,6 +38,9 @@
 	if !found {
 		st.created = true
 		id = identity{Cluster: s.Cluster, VM: s.VM, Replica: newReplicaID()}
+		if o := readOptions(s); o.formGroup {
+			id.Initial = o.initial
+		}
 		if err := st.checkUnused(); err != nil {
 			return nil, err
 		}
@@ -51,6 +55,23 @@
 	return st, st.load(wal.Options{SegmentBytes: segmentBytes})
 }
 
+// asideSuffix marks a control folder that was set aside.
+const asideSuffix = ".damaged"
+
+// setAside renames a damaged control folder. One that was set aside earlier is removed, so that the disk does not
+// fill up.
+func setAside(folder string) error {
+	aside := folder + asideSuffix
+	err := os.RemoveAll(aside)
+	if err == nil {
+		err = os.Rename(folder, aside)
+	}
+	if err == nil {
+		err = fsys.OS{}.SyncFolder(filepath.Dir(folder))
+	}
+	return errs.Wrap(err, errs.KindInternal, rejoinRemedy, "%s is damaged and cannot be set aside", folder)
+}
+
 // checkUnused refuses a folder whose identity is missing beside a log.
 func (st *storage) checkUnused() error {
 	names, err := st.fs.List(filepath.Join(st.folder, "wal"))
--- a/internal/modules/dissemination/module.go
+++ b/internal/modules/dissemination/module.go
@@ -42,6 +42,7 @@
 			kernel.CapMetrics, kernel.CapPeerTransport, kernel.CapStateMachine, kernel.CapControlLog, kernel.CapControlClient,
 		},
 		Provides: []kernel.Capability{kernel.CapReplicatedState},
+		Enabled:  func(s *settings.Settings) bool { return s.Traffic == settings.TrafficQueries },
 		Settings: []settings.Key{
 			{Section: section, Name: "interval", Kind: settings.KindDuration, Default: "1s", Min: 0.01, Max: 60, Help: "time between two confirmations of the state to other VMs"},
 			{Section: section, Name: "bootstrap_grace", Kind: settings.KindDuration, Default: "2s", Min: 0.01, Max: 600, Help: "time for the VMs around to name their state before a VM that starts is ready"},
--- a/internal/modules/log/log.go
+++ b/internal/modules/log/log.go
@@ -20,6 +20,12 @@
 
 const section = "log"
 
+// The values of the setting stream.
+const (
+	streamError  = "stderr"
+	streamOutput = "stdout"
+)
+
 func init() {
 	kernel.Register(kernel.ModuleInfo{
 		ID:       "log.logfmt",
@@ -28,7 +34,8 @@
 		Settings: []settings.Key{
 			{Section: section, Name: "level", Default: "info", Choices: []string{"debug", "info", "warn", "error"}, Help: "least level that is written"},
 			{Section: section, Name: "buffer", Kind: settings.KindInt, Default: "4096", Min: 1, Max: 1 << 20, Help: "lines that may wait to be written"},
-			{Section: section, Name: "file", Help: "file to append to; standard error when empty"},
+			{Section: section, Name: "stream", Default: streamError, Choices: []string{streamError, streamOutput}, Help: "standard stream to write to when there is no file"},
+			{Section: section, Name: "file", Help: "file to append to; a standard stream when empty"},
 		},
 	})
 }
@@ -46,6 +53,9 @@
 // are provisioned.
 func (m *Module) Provision(ctx *kernel.Context) error {
 	var out io.Writer = os.Stderr
+	if ctx.Settings.String(section, "stream") == streamOutput {
+		out = os.Stdout
+	}
 	if path := ctx.Settings.String(section, "file"); path != "" {
 		f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 		if err != nil {
--- a/internal/modules/peer/module.go
+++ b/internal/modules/peer/module.go
@@ -78,6 +78,10 @@
 	scope    tally.Scope
 	own      *peerpb.Hello
 	handlers map[string]kernel.PeerHandler
+	settings *settings.Settings
+	random   func() *rand.Rand
+	// mu guards peers and order, which grow while VMs are discovered.
+	mu       sync.RWMutex
 	peers    map[model.VMName]*peer
 	order    []*peer
 	changes  *notifier
@@ -116,14 +120,43 @@
 	m.peers = map[model.VMName]*peer{}
 	m.changes = newNotifier()
 	m.incoming = newIncoming(m.opts.maxConnections, m.opts.maxFrame)
+	m.settings, m.random = s, ctx.Random
 	for _, p := range s.Peers {
-		x := newPeer(m, p, ctx.Random())
-		m.peers[p.Name] = x
-		m.order = append(m.order, x)
+		m.AddPeer(p)
 	}
 	return nil
 }
 
+// AddPeer implements kernel.PeerTransport.
+func (m *Module) AddPeer(p settings.Peer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.peers[p.Name] != nil || p.Name == m.settings.VM {
+		return
+	}
+	x := newPeer(m, p, m.random())
+	m.peers[p.Name] = x
+	m.order = append(m.order, x)
+	if m.run != nil && m.run.Err() == nil {
+		_ = level.Info(m.log).Log("msg", "VM discovered", "peer", p.Name, "address", p.Addr)
+		m.spawn(x.keepConnected)
+	}
+}
+
+// Reload implements kernel.Reloader: VMs at new seeds become peers.
+func (m *Module) Reload(s *settings.Settings) error {
+	for _, p := range s.Peers {
+		m.AddPeer(p)
+	}
+	return nil
+}
+
+func (m *Module) peer(vm model.VMName) *peer {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.peers[vm]
+}
+
 // Validate implements kernel.Validator.
 func (m *Module) Validate() error {
 	if m.opts.listen == "" && len(m.order) > 0 {
@@ -145,6 +178,8 @@
 		return errs.Wrap(err, errs.KindInvalid, "give [peer_transport] listen a free address of this VM", "cannot listen for other VMs")
 	}
 	m.listener = l
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.run, m.cancel = context.WithCancel(ctx)
 	_ = level.Info(m.log).Log("msg", "listening for other VMs", "address", l.Addr(), "peers", len(m.order))
 	m.spawn(m.accept)
@@ -191,7 +226,7 @@
 
 // Call implements kernel.PeerTransport.
 func (m *Module) Call(ctx context.Context, to model.VMName, msg kernel.PeerMessage) ([]byte, error) {
-	p := m.peers[to]
+	p := m.peer(to)
 	if p == nil {
 		return nil, errs.New(errs.KindUnavailable, "add [peer "+string(to)+"] to the settings", "VM %q is not a peer of this VM", to)
 	}
@@ -200,7 +235,7 @@
 
 // Send implements kernel.PeerTransport.
 func (m *Module) Send(to model.VMName, msg kernel.PeerMessage) bool {
-	p := m.peers[to]
+	p := m.peer(to)
 	if p == nil || !p.send(msg) {
 		m.dropped.Inc(1)
 		return false
@@ -211,6 +246,8 @@
 
 // Peers implements kernel.PeerTransport.
 func (m *Module) Peers() []kernel.PeerStatus {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
 	out := make([]kernel.PeerStatus, 0, len(m.order))
 	for _, p := range m.order {
 		out = append(out, p.status())
--- a/internal/modules/peer/outgoing.go
+++ b/internal/modules/peer/outgoing.go
@@ -14,6 +14,7 @@
 
 	"github.com/chestnuttiller/chestnuttiller/internal/errs"
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
+	"github.com/chestnuttiller/chestnuttiller/internal/model"
 	"github.com/chestnuttiller/chestnuttiller/internal/modules/peer/peerpb"
 	"github.com/chestnuttiller/chestnuttiller/internal/settings"
 )
@@ -41,8 +42,11 @@
 }
 
 func (p *peer) status() kernel.PeerStatus {
-	s := kernel.PeerStatus{VM: p.config.Name, AvailabilityZone: p.config.AvailabilityZone}
+	s := kernel.PeerStatus{VM: p.config.Name, AvailabilityZone: p.config.AvailabilityZone, Control: p.config.HasRole(settings.RoleControl)}
 	if l := p.link.Load(); l != nil {
+		if s.AvailabilityZone == "" { // A discovered VM tells its availability zone itself.
+			s.AvailabilityZone = model.AvailabilityZone(l.hello.GetAvailabilityZone())
+		}
 		s.Connected, s.Incarnation, s.AnnounceURL = true, l.hello.GetIncarnation(), l.hello.GetAnnounceUrl()
 	}
 	return s
--- a/internal/peertest/peertest.go
+++ b/internal/peertest/peertest.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -137,6 +138,7 @@
 	peers     []settings.Peer
 	handlers  map[string]kernel.PeerHandler
 	mu        sync.Mutex
+	peersLock sync.Mutex
 	listeners []func(kernel.PeerStatus)
 	last      map[model.VMName]kernel.PeerStatus
 	inbox     chan delivery
@@ -254,9 +256,12 @@
 
 // Peers implements kernel.PeerTransport.
 func (t *Transport) Peers() []kernel.PeerStatus {
-	out := make([]kernel.PeerStatus, 0, len(t.peers))
-	for _, p := range t.peers {
-		s := kernel.PeerStatus{VM: p.Name, AvailabilityZone: p.AvailabilityZone}
+	var out []kernel.PeerStatus
+	t.peersLock.Lock()
+	peers := slices.Clone(t.peers)
+	t.peersLock.Unlock()
+	for _, p := range peers {
+		s := kernel.PeerStatus{VM: p.Name, AvailabilityZone: p.AvailabilityZone, Control: p.HasRole(settings.RoleControl)}
 		if other, link := t.network.link(t.self.VM, p.Name); link != LinkDown {
 			s.Connected, s.Incarnation, s.AnnounceURL = true, other.self.Incarnation, other.url
 		}
@@ -265,6 +270,15 @@
 	return out
 }
 
+// AddPeer implements kernel.PeerTransport.
+func (t *Transport) AddPeer(p settings.Peer) {
+	t.peersLock.Lock()
+	defer t.peersLock.Unlock()
+	if p.Name != t.self.VM && !slices.ContainsFunc(t.peers, func(x settings.Peer) bool { return x.Name == p.Name }) {
+		t.peers = append(t.peers, p)
+	}
+}
+
 // OnChange implements kernel.PeerTransport.
 func (t *Transport) OnChange(fn func(kernel.PeerStatus)) {
 	t.mu.Lock()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/netip"
 	"os"
 	"slices"
@@ -25,6 +26,14 @@
 // ValueKind is the type of a setting's value.
 type ValueKind int
 
+// The kinds of traffic that a system serves.
+const (
+	// TrafficQueries stands for queries and orders by the product's own protocols.
+	TrafficQueries = "queries"
+	// TrafficRoutes stands for requests that are routed by host and path to leaves.
+	TrafficRoutes = "routes"
+)
+
 // The types of values.
 const (
 	KindString ValueKind = iota
@@ -74,13 +83,19 @@
 	VM               model.VMName
 	AvailabilityZone model.AvailabilityZone
 	Roles            []string
-	Seed             uint64
-	DataFolder       string
-	DrainDelay       time.Duration
-	DrainLimit       time.Duration
-	Peers            []Peer
+	// Traffic is the kind of traffic that the system serves.
+	Traffic    string
+	Seed       uint64
+	DataFolder string
+	DrainDelay time.Duration
+	DrainLimit time.Duration
+	Peers      []Peer
+	// Discovers says that the peers are the control VMs at the seeds of the settings, and that more are learned from
+	// them. VMs are named by their IP addresses then.
+	Discovers bool
 
-	values map[string]string
+	values    map[string]string
+	seedPeers []Peer
 }
 
 const peerPrefix = "peer "
@@ -91,7 +106,11 @@
 	{Section: "vm", Name: "name", Required: true, Help: "name of this VM"},
 	{Section: "vm", Name: "availability_zone", Required: true, Help: "availability zone of this VM"},
 	{Section: "vm", Name: "roles", Kind: KindList, Default: RoleEntry, Choices: []string{RoleEntry, RoleControl}, Help: "roles of this process"},
+	{Section: "vm", Name: "traffic", Default: TrafficQueries, Choices: []string{TrafficQueries, TrafficRoutes}, Help: "queries: the product's own protocols; routes: requests routed by host and path"},
+	{Section: "vm", Name: "memory_limit_mb", Kind: KindInt, Default: "0", Max: 1 << 20, Help: "memory that the runtime tries to stay below; 0 is no limit"},
 	{Section: "vm", Name: "seed", Kind: KindInt, Default: "0", Help: "seed of random choices; 0 takes a random seed"},
+	{Section: "discovery", Name: "seeds", Kind: KindList, Help: "addresses of control VMs, such as 10.0.0.1:8080; only the IP addresses are used"},
+	{Section: "discovery", Name: "peer_port", Kind: KindInt, Default: "7400", Min: 1, Max: 65535, Help: "port on which every VM takes connections of other VMs"},
 	{Section: "data", Name: "folder", Help: "folder for durable state; required on control VMs"},
 	{Section: "shutdown", Name: "drain_delay", Kind: KindDuration, Default: "5s", Max: 600, Help: "time to go on serving after readiness fails"},
 	{Section: "shutdown", Name: "drain_limit", Kind: KindDuration, Default: "30s", Min: 0.01, Max: 3600, Help: "limit for the whole shutdown"},
@@ -215,6 +234,7 @@
 	s.VM = model.VMName(s.String("vm", "name"))
 	s.AvailabilityZone = model.AvailabilityZone(s.String("vm", "availability_zone"))
 	s.Roles = s.List("vm", "roles")
+	s.Traffic = s.String("vm", "traffic")
 	s.Seed = uint64(s.Int("vm", "seed"))
 	s.DataFolder = s.String("data", "folder")
 	s.DrainDelay = s.Duration("shutdown", "drain_delay")
@@ -225,11 +245,46 @@
 	if s.DrainDelay > s.DrainLimit {
 		return errs.New(errs.KindInvalid, "raise drain_limit", "%s: [shutdown] drain_delay %s is above drain_limit %s", file, s.DrainDelay, s.DrainLimit)
 	}
+	if err := s.addSeeds(file); err != nil {
+		return err
+	}
 	// The VM may appear among its peers, so that all VMs of a system can share one list.
 	s.Peers = slices.DeleteFunc(s.Peers, func(p Peer) bool { return p.Name == s.VM })
 	return nil
 }
 
+// addSeeds makes the control VMs at the seeds peers.
+func (s *Settings) addSeeds(file string) error {
+	seeds := s.List("discovery", "seeds")
+	if len(seeds) == 0 {
+		return nil
+	}
+	s.Discovers = true
+	if len(s.Peers) > 0 {
+		return errs.New(errs.KindInvalid, "remove the [peer ...] sections or [discovery] seeds", "%s: peers are named and discovered at once", file)
+	}
+	if _, err := netip.ParseAddr(string(s.VM)); err != nil {
+		return errs.New(errs.KindInvalid, "name the VM by its IP address", "%s: [vm] name %q is no IP address, but other VMs discover this VM by it", file, s.VM)
+	}
+	for _, seed := range seeds {
+		a, err := netip.ParseAddrPort(seed)
+		if err != nil {
+			return errs.New(errs.KindInvalid, "write an IP address and port, such as 10.0.0.1:8080", "%s: [discovery] seeds has %q", file, seed)
+		}
+		s.seedPeers = append(s.seedPeers, s.ControlPeer(model.VMName(a.Addr().String())))
+	}
+	s.Peers = slices.Clone(s.seedPeers)
+	return nil
+}
+
+// SeedPeers returns the control VMs at the seeds, this VM included if it is one of them.
+func (s *Settings) SeedPeers() []Peer { return s.seedPeers }
+
+// ControlPeer returns the peer of a discovered control VM.
+func (s *Settings) ControlPeer(vm model.VMName) Peer {
+	return Peer{Name: vm, Addr: net.JoinHostPort(string(vm), s.String("discovery", "peer_port")), Roles: []string{RoleControl}}
+}
+
 // check reports what is wrong with a value.
 func (k Key) check(v string) error {
 	var number float64
