--- /dev/null
+++ b/internal/modules/forwarder/waiters.go
@@ -0,0 +1,44 @@
+package forwarder
+
+import (
+	"slices"
+
+	"github.com/chestnuttiller/chestnuttiller/internal/model"
+)
+
+// waiters holds the requests that wait for room at the leaves of a service, in the order of their routes' ranks and
+// then of their arrival. The lock of the module guards it.
+type waiters map[model.ServiceName][]*runner
+
+func (w waiters) add(services []model.ServiceName, r *runner) {
+	for _, s := range services {
+		list := w[s]
+		i := len(list)
+		for i > 0 && list[i-1].route.Rank > r.route.Rank {
+			i--
+		}
+		w[s] = slices.Insert(list, i, r)
+	}
+}
+
+func (w waiters) remove(services []model.ServiceName, r *runner) {
+	for _, s := range services {
+		if i := slices.Index(w[s], r); i >= 0 {
+			w[s] = slices.Delete(w[s], i, i+1)
+		}
+		if len(w[s]) == 0 {
+			delete(w, s)
+		}
+	}
+}
+
+// wake lets the first request of a service try again. A request that was woken and has not run yet is passed over.
+func (w waiters) wake(service model.ServiceName) {
+	for _, r := range w[service] {
+		select {
+		case r.wakes <- struct{}{}:
+			return
+		default:
+		}
+	}
+}
--- /dev/null
+++ b/internal/modules/leafpool/module.go
@@ -0,0 +1,230 @@
+// Package leafpool is the module transport.leaves. It carries attempts to leaves over warm connections, of which all
+// entry VMs together open no more than each leaf accepts. What is spoken on a connection is a module of its own.
+package leafpool
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/chestnuttiller/chestnuttiller/internal/errs"
+	"github.com/chestnuttiller/chestnuttiller/internal/forward"
+	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
+	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
+	"github.com/chestnuttiller/chestnuttiller/internal/settings"
+)
+
+const section = "leaf_connections"
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{
+		ID:       "transport.leaves",
+		New:      func() kernel.Module { return &Module{} },
+		Needs:    []kernel.Capability{kernel.CapLog, kernel.CapLeafProtocol},
+		Wants:    []kernel.Capability{kernel.CapMetrics},
+		Provides: []kernel.Capability{kernel.CapLeafTransport},
+		Enabled:  kernel.ForRoutes(settings.RoleEntry),
+		Settings: []settings.Key{
+			{Section: section, Name: "dial_timeout", Kind: settings.KindDuration, Default: "500ms", Min: 0.001, Max: 60, Help: "limit for opening a connection"},
+			{Section: section, Name: "probe_interval", Kind: settings.KindDuration, Default: "2s", Min: 1, Max: 600, Help: "time between probes of an idle connection; two unanswered ones end it"},
+			{Section: section, Name: "assumed_entry_vms", Kind: settings.KindInt, Default: "16", Min: 1, Max: 100000, Help: "entry VMs that share the connections to a leaf, while their number is unknown"},
+		},
+	})
+}
+
+const (
+	// defaultConnections is what a leaf is assumed to accept when its service does not say.
+	defaultConnections = 64
+	// probesLost is how many unanswered probes end a connection.
+	probesLost = 2
+	// idleMargin is how long before its end an idle connection is not used any more, so that a request does not
+	// cross the close.
+	idleMargin = 500 * time.Millisecond
+	// replyGrace is how long after the end of an attempt its reply may still arrive, since the leaf counts the time
+	// that is left from the arrival of the request.
+	replyGrace = 100 * time.Millisecond
+	// inlineBytes is the size up to which a request is written by the caller's goroutine. It fits the socket buffer
+	// of an idle connection, so that the write does not wait.
+	inlineBytes = 16 << 10
+)
+
+// key names the connections of one incarnation of a leaf.
+type key struct {
+	id      string
+	bornMS  int64
+	address string
+}
+
+func keyOf(l *leaves.Member) key { return key{l.ID, l.BornMS, l.Address} }
+
+// Module keeps the connections.
+type Module struct {
+	control  *kernel.Control
+	changes  <-chan struct{}
+	protocol kernel.LeafProtocol
+	logger   log.Logger
+	now      func() time.Time
+	dialer   net.Dialer
+	assumed  int
+	metrics  metrics
+	run      context.Context
+	cancel   context.CancelFunc
+
+	mu    sync.Mutex
+	pools map[key]*pool
+}
+
+type metrics struct {
+	opened, refused, broken, unexpected tally.Counter
+	open                                tally.Gauge
+}
+
+// Provision implements kernel.Provisioner.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	s := ctx.Settings
+	m.control, m.logger, m.now = ctx.Control, ctx.Logger("leaf_connections"), ctx.Now
+	m.changes = ctx.Control.Changes()
+	probe := s.Duration(section, "probe_interval")
+	m.dialer = net.Dialer{
+		Timeout:         s.Duration(section, "dial_timeout"),
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probe, Interval: probe, Count: probesLost},
+	}
+	m.assumed = s.Int(section, "assumed_entry_vms")
+	scope := ctx.Scope("leaf_connections")
+	m.metrics = metrics{
+		opened: scope.Counter("opened"), refused: scope.Counter("refused"), broken: scope.Counter("broken"),
+		unexpected: scope.Counter("unexpected_bytes"), open: scope.Gauge("open"),
+	}
+	m.pools = map[key]*pool{}
+	var err error
+	m.protocol, err = kernel.Lookup[kernel.LeafProtocol](ctx)
+	return err
+}
+
+// Start implements kernel.Starter.
+func (m *Module) Start(ctx context.Context) error {
+	m.run, m.cancel = context.WithCancel(ctx)
+	m.control.Follow(m.run, m.changes, m.prune)
+	return nil
+}
+
+// Stop implements kernel.Stopper.
+func (m *Module) Stop(context.Context) error {
+	if m.cancel != nil {
+		m.cancel()
+	}
+	m.prune(&kernel.View{Leaves: &leaves.Index{}})
+	return nil
+}
+
+// prune closes the connections to leaves that are not listed any more, once they are idle.
+func (m *Module) prune(v *kernel.View) {
+	if v.Leaves == nil {
+		return
+	}
+	listed := map[key]bool{}
+	for _, list := range v.Leaves.Services {
+		for _, l := range list {
+			listed[keyOf(l)] = true
+		}
+	}
+	m.mu.Lock()
+	var idle []*conn
+	open := 0
+	for k, p := range m.pools {
+		open += p.open
+		if !listed[k] {
+			idle = append(idle, p.retire()...)
+			delete(m.pools, k)
+		}
+	}
+	m.mu.Unlock()
+	m.metrics.open.Update(float64(open))
+	for _, c := range idle {
+		_ = c.net.Close()
+	}
+}
+
+// limit returns how many connections this VM may have to a leaf. The shares of all entry VMs together are no more
+// than the leaf accepts; each VM may have one, since it could not reach the leaf otherwise.
+func (m *Module) limit(l *leaves.Member) int {
+	v := m.control.View()
+	accepts := defaultConnections
+	if v.Routes != nil {
+		if s := v.Routes.Service(l.Service); s != nil && s.MaxConnections > 0 {
+			accepts = s.MaxConnections
+		}
+	}
+	vms := v.EntryVMs
+	if vms == 0 {
+		vms = m.assumed
+	}
+	return max(1, accepts/vms)
+}
+
+// Room implements kernel.LeafTransport.
+func (m *Module) Room(l *leaves.Member) int {
+	limit := m.limit(l)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.pools[keyOf(l)]
+	if p == nil {
+		return limit
+	}
+	return limit - (p.open - len(p.idle))
+}
+
+// Send implements kernel.LeafTransport.
+func (m *Module) Send(l *leaves.Member, req *forward.LeafRequest, done func(forward.AttemptEnd)) (cancel func()) {
+	x := &exchange{module: m, req: req, began: m.now(), done: done}
+	limit := m.limit(l)
+	m.mu.Lock()
+	p := m.pools[keyOf(l)]
+	if p == nil {
+		p = &pool{module: m, leaf: l}
+		m.pools[keyOf(l)] = p
+	}
+	c := p.take(m.now())
+	full := c == nil && p.open >= limit
+	if c == nil && !full {
+		p.open++
+	}
+	m.mu.Unlock()
+	switch {
+	case c != nil:
+		c.begin(x)
+	case full:
+		x.finish(nil, errs.New(errs.KindOverload, "send the request to another leaf", "all %d connections to leaf %s are busy", limit, l.ID), false)
+	default:
+		ctx, stop := context.WithCancel(m.run)
+		x.stopDial = stop
+		go p.dial(ctx, x)
+	}
+	return x.cancel
+}
+
+// dial opens a connection for an attempt.
+func (p *pool) dial(ctx context.Context, x *exchange) {
+	m := p.module
+	defer x.stopDial()
+	ctx, stop := context.WithDeadline(ctx, x.req.Until)
+	defer stop()
+	n, err := m.dialer.DialContext(ctx, "tcp", p.leaf.Address)
+	if err != nil {
+		p.closed(nil)
+		m.metrics.refused.Inc(1)
+		_ = level.Debug(m.logger).Log("msg", "connection not opened", "leaf", p.leaf.ID, "address", p.leaf.Address, "err", err)
+		x.refused = ctx.Err() == nil || ctx.Err() == context.DeadlineExceeded
+		x.finish(nil, errs.Wrap(err, errs.KindUnavailable, "send the request to another leaf", "no connection to leaf %s", p.leaf.ID), false)
+		return
+	}
+	m.metrics.opened.Inc(1)
+	c := newConn(p, n)
+	c.begin(x)
+	c.read()
+}
--- /dev/null
+++ b/internal/modules/membership/module.go
@@ -0,0 +1,410 @@
+// Package membership is the module membership.watch. Control VMs hear from leaves; every VM follows all control VMs
+// that it knows, and learns of leaves, routes, further control VMs and the number of entry VMs from them.
+package membership
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
+	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
+	"github.com/chestnuttiller/chestnuttiller/internal/model"
+	"github.com/chestnuttiller/chestnuttiller/internal/routes"
+	"github.com/chestnuttiller/chestnuttiller/internal/settings"
+)
+
+const section = "membership"
+
+const readinessKey = "membership"
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{
+		ID:       "membership.watch",
+		New:      func() kernel.Module { return &Module{} },
+		Needs:    []kernel.Capability{kernel.CapLog, kernel.CapPeerTransport},
+		Wants:    []kernel.Capability{kernel.CapMetrics, kernel.CapStateMachine},
+		Provides: []kernel.Capability{kernel.CapLeafRegistry},
+		Enabled:  func(s *settings.Settings) bool { return s.Traffic == settings.TrafficRoutes },
+		Settings: []settings.Key{
+			{Section: section, Name: "leaf_lapse", Kind: settings.KindDuration, Default: "8s", Min: 0.1, Max: 600, Help: "silence after which a leaf is used only where there is no other; several heartbeats may be late"},
+			{Section: section, Name: "orphan_lapse", Kind: settings.KindDuration, Default: "20s", Min: 0.1, Max: 3600, Help: "time for which leaves are kept whose control VM is not reachable"},
+			{Section: section, Name: "retain", Kind: settings.KindDuration, Default: "10m", Min: 1, Max: 86400, Help: "time for which ended leaves are remembered"},
+		},
+	})
+}
+
+const (
+	// scanInterval is how often leaves and entry VMs are looked through for those that have lapsed.
+	scanInterval = 500 * time.Millisecond
+	// holdTime is how long a control VM holds a watch without news. It bounds the age of what a VM believes.
+	holdTime = time.Second
+	// watchTimeout is how long a VM waits for the answer to a watch: the hold and a slow control VM.
+	watchTimeout = holdTime + 2*time.Second
+	// retryPause is the pause before a control VM that did not answer is asked again.
+	retryPause = 200 * time.Millisecond
+	// entryLapse is how long an entry VM counts that does not watch any more. A VM that is restarted or frozen for
+	// a few seconds keeps its part of the connections.
+	entryLapse = 10 * time.Second
+	// forgetSource is how long the news of a control VM that is not reachable are used.
+	forgetSource = 60 * time.Second
+)
+
+type (
+	scanEvent struct{}
+	// newsEvent brings the answer of a control VM.
+	newsEvent struct {
+		from model.VMName
+		news news
+	}
+	peersEvent struct{}
+)
+
+// news is a decoded answer of a control VM.
+type news struct {
+	incarnation uint64
+	position    uint64
+	complete    bool
+	leaves      []leaves.Leaf
+	routes      *routes.Table
+	entryVMs    int
+	controlVMs  []model.VMName
+}
+
+// source is what one control VM told this VM.
+type source struct {
+	copy     leaves.Copy
+	entryVMs int
+	contact  time.Time
+	// told says that the control VM has answered at least once.
+	told bool
+}
+
+// Module follows control VMs and, on control VMs, answers those that follow.
+type Module struct {
+	settings    *settings.Settings
+	self        model.VMName
+	incarnation uint64
+	controls    bool
+	control     *kernel.Control
+	readiness   *kernel.Readiness
+	peers       kernel.PeerTransport
+	logger      log.Logger
+	gauges      gauges
+	run         context.Context
+	cancel      context.CancelFunc
+
+	// The following fields belong to the control goroutine.
+	table   *leaves.Table
+	sources map[model.VMName]*source
+	// entrySeen holds when entry VMs watched last, on control VMs.
+	entrySeen map[model.VMName]time.Time
+	routes    *routes.Table
+	index     *leaves.Index
+	entryVMs  int
+	state     kernel.RouteState
+	// changed is closed when there is something new for those that watch.
+	changed chan struct{}
+	ready   bool
+}
+
+type gauges struct {
+	ready, draining, lapsed, routesVersion, entryVMs tally.Gauge
+}
+
+// Provision implements kernel.Provisioner.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	s := ctx.Settings
+	m.settings, m.self, m.incarnation = s, ctx.VM.VM, ctx.VM.Incarnation
+	m.controls = s.HasRole(settings.RoleControl)
+	m.control, m.readiness, m.logger = ctx.Control, ctx.Readiness, ctx.Logger("membership")
+	scope := ctx.Scope("membership")
+	m.gauges = gauges{
+		ready: scope.Gauge("leaves_ready"), draining: scope.Gauge("leaves_draining"), lapsed: scope.Gauge("leaves_lapsed"),
+		routesVersion: scope.Gauge("routes_version"), entryVMs: scope.Gauge("entry_vms"),
+	}
+	m.table = leaves.NewTable(m.self, leaves.Config{
+		Lapse: s.Duration(section, "leaf_lapse"), OrphanLapse: s.Duration(section, "orphan_lapse"), Retain: s.Duration(section, "retain"),
+	})
+	m.sources, m.entrySeen = map[model.VMName]*source{}, map[model.VMName]time.Time{}
+	m.changed = make(chan struct{})
+	m.run, m.cancel = context.WithCancel(context.Background())
+	var err error
+	if m.peers, err = kernel.Lookup[kernel.PeerTransport](ctx); err != nil {
+		return err
+	}
+	if s.HasRole(settings.RoleEntry) {
+		m.readiness.Set(readinessKey, "the VM knows no routes yet")
+	}
+	if m.controls {
+		if m.state, err = kernel.Lookup[kernel.RouteState](ctx); err != nil {
+			return err
+		}
+		m.peers.Handle(kindWatch, m.answer)
+	}
+	m.peers.OnChange(func(kernel.PeerStatus) { _ = m.control.PostWait(m.run, peersEvent{}) })
+	return nil
+}
+
+// Start implements kernel.Starter.
+func (m *Module) Start(ctx context.Context) error {
+	return m.control.Do(ctx, func(time.Time) {
+		m.followAll()
+		m.control.After(scanInterval, scanEvent{})
+	})
+}
+
+// Stop implements kernel.Stopper.
+func (m *Module) Stop(context.Context) error {
+	m.cancel()
+	return nil
+}
+
+// HandleEvent implements kernel.Controller.
+func (m *Module) HandleEvent(now time.Time, ev kernel.Event) {
+	switch x := ev.(type) {
+	case scanEvent:
+		m.scan(now)
+		m.control.After(scanInterval, scanEvent{})
+	case newsEvent:
+		m.take(now, x)
+	case peersEvent:
+		m.followAll()
+	case kernel.RoutesChanged:
+		m.takeRoutes(m.self, x.Table)
+	}
+}
+
+// followAll starts to follow the control VMs that are not followed yet.
+func (m *Module) followAll() {
+	if m.run.Err() != nil {
+		return
+	}
+	for _, p := range m.peers.Peers() {
+		if p.Control && m.sources[p.VM] == nil {
+			m.sources[p.VM] = &source{}
+			go m.follow(m.run, p.VM)
+		}
+	}
+}
+
+func (m *Module) addControl(vm model.VMName) {
+	if m.settings.Discovers && vm != m.self {
+		m.peers.AddPeer(m.settings.ControlPeer(vm))
+	}
+}
+
+// take takes over the news of a control VM.
+func (m *Module) take(now time.Time, x newsEvent) {
+	s := m.sources[x.from]
+	if s == nil {
+		return
+	}
+	if !s.told {
+		s.told = true
+		_ = level.Info(m.logger).Log("msg", "control VM answers", "from", x.from, "leaves", len(x.news.leaves), "entry_vms", x.news.entryVMs)
+	}
+	s.contact = now
+	for _, vm := range x.news.controlVMs {
+		m.addControl(vm)
+	}
+	m.followAll()
+	m.takeRoutes(x.from, x.news.routes)
+	if m.controls {
+		m.merge(now, x)
+		return
+	}
+	s.copy.Apply(x.news.leaves, x.news.complete)
+	if len(x.news.leaves) > 0 || x.news.complete {
+		m.logLeaves(x.from, x.news.leaves)
+		m.join(now)
+	}
+	if s.entryVMs != x.news.entryVMs {
+		s.entryVMs = x.news.entryVMs
+		m.countEntryVMs(now)
+	}
+	m.becomeReady()
+}
+
+// merge lets a control VM take over what another one hears from leaves.
+func (m *Module) merge(now time.Time, x newsEvent) {
+	before := m.table.Position()
+	for _, l := range x.news.leaves {
+		m.table.Merge(now, x.from, l)
+	}
+	if m.table.Position() != before {
+		m.announce()
+	}
+}
+
+// announce answers all watches that wait.
+func (m *Module) announce() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// takeRoutes puts a table into force. Within one process the version never falls.
+func (m *Module) takeRoutes(from model.VMName, t *routes.Table) {
+	if t == nil || m.routes != nil && t.Version <= m.routes.Version {
+		return
+	}
+	var before routes.Version
+	if m.routes != nil {
+		before = m.routes.Version
+	}
+	m.routes = t
+	m.gauges.routesVersion.Update(float64(t.Version))
+	_ = level.Info(m.logger).Log("msg", "route table in force", "version", t.Version, "before", before, "from", from, "routes", len(t.Routes), "services", len(t.Services))
+	m.control.MarkDirty()
+	m.announce()
+	m.becomeReady()
+}
+
+func (m *Module) becomeReady() {
+	if m.ready || m.routes == nil || m.index == nil {
+		return
+	}
+	m.ready = true
+	m.readiness.Clear(readinessKey)
+	_ = level.Info(m.logger).Log("msg", "the VM is ready", "version", m.routes.Version, "leaves", m.index.Count)
+}
+
+// join builds the index of an entry VM from the news of all control VMs.
+func (m *Module) join(now time.Time) {
+	var copies []*leaves.Copy
+	for _, s := range m.sources {
+		if s.told {
+			copies = append(copies, &s.copy)
+		}
+	}
+	m.index = leaves.Join(now, copies, m.index)
+	m.gauges.ready.Update(float64(m.index.Count))
+	m.control.MarkDirty()
+}
+
+// countEntryVMs takes the greatest number that a control VM reports, so that a control VM which is cut off from some
+// entry VMs does not make the others take more connections than there are.
+func (m *Module) countEntryVMs(now time.Time) {
+	n := 0
+	for _, s := range m.sources {
+		if now.Sub(s.contact) < forgetSource {
+			n = max(n, s.entryVMs)
+		}
+	}
+	if n == m.entryVMs || n == 0 {
+		return
+	}
+	_ = level.Info(m.logger).Log("msg", "number of entry VMs changed", "before", m.entryVMs, "now", n)
+	m.entryVMs = n
+	m.gauges.entryVMs.Update(float64(n))
+	m.control.MarkDirty()
+}
+
+// scan lets silent leaves, entry VMs and control VMs lapse.
+func (m *Module) scan(now time.Time) {
+	if !m.controls {
+		m.countEntryVMs(now)
+		m.forgetSources(now)
+		return
+	}
+	// The event of a change may have found the queue full.
+	m.takeRoutes(m.self, m.state.Table())
+	before := m.table.Position()
+	m.table.Scan(now, scanInterval, m.contact)
+	if m.table.Position() != before {
+		m.announce()
+	}
+	for vm, seen := range m.entrySeen {
+		if now.Sub(seen) > entryLapse {
+			delete(m.entrySeen, vm)
+			_ = level.Info(m.logger).Log("msg", "entry VM does not watch any more", "entry_vm", vm, "entry_vms", len(m.entrySeen))
+		}
+	}
+	counts := m.table.Counts()
+	m.gauges.ready.Update(float64(counts[leaves.Ready]))
+	m.gauges.draining.Update(float64(counts[leaves.Draining]))
+	m.gauges.lapsed.Update(float64(counts[leaves.Lapsed]))
+	m.gauges.entryVMs.Update(float64(len(m.entrySeen)))
+}
+
+// contact returns when a control VM answered last.
+func (m *Module) contact(vm model.VMName) time.Time {
+	if s := m.sources[vm]; s != nil {
+		return s.contact
+	}
+	return time.Time{}
+}
+
+// forgetSources drops the news of control VMs that have not answered for long, as long as another one answers.
+func (m *Module) forgetSources(now time.Time) {
+	answering := false
+	for _, s := range m.sources {
+		answering = answering || now.Sub(s.contact) < watchTimeout
+	}
+	for vm, s := range m.sources {
+		if answering && s.told && now.Sub(s.contact) > forgetSource {
+			s.told, s.copy = false, leaves.Copy{}
+			_ = level.Warn(m.logger).Log("msg", "the leaves of a control VM are dropped because it has not answered", "from", vm, "age", now.Sub(s.contact))
+			m.join(now)
+		}
+	}
+}
+
+// ContributeView implements kernel.ViewContributor.
+func (m *Module) ContributeView(_ time.Time, v *kernel.View) {
+	v.Routes, v.Leaves, v.EntryVMs = m.routes, m.index, m.entryVMs
+}
+
+// maxLeafLines bounds the lines about leaves of one answer.
+const maxLeafLines = 20
+
+func (m *Module) logLeaves(from model.VMName, list []leaves.Leaf) {
+	for i, l := range list {
+		if i == maxLeafLines {
+			_ = level.Info(m.logger).Log("msg", "further leaves changed", "from", from, "lines_left_out", len(list)-i)
+			return
+		}
+		_ = level.Info(m.logger).Log("msg", "leaf changed", "from", from, "leaf", l.ID, "service", l.Service, "address", l.Address, "state", l.State, "born_ms", l.BornMS, "sequence", l.Sequence)
+	}
+}
+
+// Heartbeat implements kernel.LeafRegistry.
+func (m *Module) Heartbeat(ctx context.Context, l leaves.Leaf) error {
+	return m.change(ctx, func(now time.Time) error {
+		old, known := m.table.Get(l.ID)
+		err := m.table.Hear(now, l)
+		if err != nil || !known || old.State != l.State || old.BornMS != l.BornMS {
+			_ = level.Info(m.logger).Log("msg", "heartbeat decided", "leaf", l.ID, "service", l.Service, "address", l.Address, "state", l.State, "born_ms", l.BornMS, "sequence", l.Sequence, "known_state", old.State, "known_sequence", old.Sequence, "err", err)
+		}
+		return err
+	})
+}
+
+// SignOff implements kernel.LeafRegistry.
+func (m *Module) SignOff(ctx context.Context, id string, bornMS int64) error {
+	return m.change(ctx, func(now time.Time) error {
+		m.table.End(now, id, bornMS)
+		l, _ := m.table.Get(id)
+		_ = level.Info(m.logger).Log("msg", "leaf signed off", "leaf", id, "born_ms", bornMS, "state", l.State)
+		return nil
+	})
+}
+
+// change runs fn on the control goroutine and tells those that watch if the table has changed.
+func (m *Module) change(ctx context.Context, fn func(now time.Time) error) error {
+	var failure error
+	err := m.control.Do(ctx, func(now time.Time) {
+		before := m.table.Position()
+		failure = fn(now)
+		if m.table.Position() != before {
+			m.announce()
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return failure
+}
--- /dev/null
+++ b/internal/modules/membership/watch.go
@@ -0,0 +1,129 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chestnuttiller/chestnuttiller/internal/errs"
+	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
+	"github.com/chestnuttiller/chestnuttiller/internal/model"
+	"github.com/chestnuttiller/chestnuttiller/internal/modules/membership/membershippb"
+)
+
+// kindWatch is the kind of peer messages that ask for news.
+const kindWatch = "membership.watch"
+
+// follow asks one control VM for news, over and over. Each call is held there until there are some.
+func (m *Module) follow(run context.Context, vm model.VMName) {
+	req := &membershippb.WatchRequest{Control: m.controls}
+	var lastErr string
+	for run.Err() == nil {
+		if v := m.control.View().Routes; v != nil {
+			req.RoutesVersion = uint64(v.Version)
+		}
+		n, err := m.ask(run, vm, req)
+		if err != nil {
+			if text := string(errs.KindOf(err)); text != lastErr {
+				lastErr = text
+				_ = level.Warn(m.logger).Log("msg", "control VM does not answer", "from", vm, "err", err)
+			}
+			if kernel.Wait(run, retryPause) != nil {
+				return
+			}
+			continue
+		}
+		if lastErr != "" {
+			_ = level.Info(m.logger).Log("msg", "control VM answers again", "from", vm)
+			lastErr = ""
+		}
+		req.Incarnation, req.Position = n.incarnation, n.position
+		if m.control.PostWait(run, newsEvent{vm, n}) != nil {
+			return
+		}
+	}
+}
+
+func (m *Module) ask(run context.Context, vm model.VMName, req *membershippb.WatchRequest) (news, error) {
+	data, err := proto.Marshal(req)
+	if err != nil {
+		return news{}, err
+	}
+	ctx, cancel := context.WithTimeout(run, watchTimeout)
+	defer cancel()
+	data, err = m.peers.Call(ctx, vm, kernel.PeerMessage{Kind: kindWatch, Payload: data})
+	if err != nil {
+		return news{}, err
+	}
+	return decodeNews(data)
+}
+
+// answer holds the watch of another VM until there is something new for it.
+func (m *Module) answer(ctx context.Context, from model.VMName, payload []byte) ([]byte, error) {
+	var req membershippb.WatchRequest
+	if err := proto.Unmarshal(payload, &req); err != nil {
+		return nil, errs.Wrap(err, errs.KindInvalid, "run the same release on all VMs", "a watch cannot be decoded")
+	}
+	if req.GetControl() {
+		m.addControl(from)
+	}
+	hold := time.NewTimer(holdTime)
+	defer hold.Stop()
+	for last := false; ; {
+		var reply *membershippb.WatchReply
+		var changed chan struct{}
+		err := m.control.Do(ctx, func(now time.Time) {
+			if !req.GetControl() {
+				m.entrySeen[from] = now
+			}
+			reply, changed = m.news(&req, last), m.changed
+		})
+		if err != nil {
+			return nil, err
+		}
+		if reply != nil {
+			return proto.Marshal(reply)
+		}
+		select {
+		case <-changed:
+		case <-hold.C:
+			last = true
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-m.run.Done():
+			return nil, errors.New("the process is shutting down")
+		}
+	}
+}
+
+// news returns what is new for a VM, or nil. With always it returns a reply without news.
+func (m *Module) news(req *membershippb.WatchRequest, always bool) *membershippb.WatchReply {
+	position := req.GetPosition()
+	if req.GetIncarnation() != m.incarnation {
+		position = 0
+	}
+	newRoutes := m.routes != nil && uint64(m.routes.Version) > req.GetRoutesVersion()
+	if !always && !newRoutes && position == m.table.Position() && req.GetIncarnation() == m.incarnation {
+		return nil
+	}
+	list, complete := m.table.Since(position)
+	reply := &membershippb.WatchReply{
+		Incarnation: m.incarnation, Position: m.table.Position(), Complete: complete,
+		EntryVms: uint32(len(m.entrySeen)),
+	}
+	for i := range list {
+		reply.Leaves = append(reply.Leaves, encodeLeaf(&list[i]))
+	}
+	if newRoutes {
+		reply.Routes = encodeRoutes(m.routes)
+	}
+	for _, p := range m.peers.Peers() {
+		if p.Control && p.Connected {
+			reply.ControlVms = append(reply.ControlVms, string(p.VM))
+		}
+	}
+	return reply
+}
--- /dev/null
+++ b/internal/modules/routestate/publisher.go
@@ -0,0 +1,56 @@
+package routestate
+
+import (
+	"context"
+
+	"github.com/chestnuttiller/chestnuttiller/internal/errs"
+	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
+	"github.com/chestnuttiller/chestnuttiller/internal/routes"
+	"github.com/chestnuttiller/chestnuttiller/internal/routescodec"
+	"github.com/chestnuttiller/chestnuttiller/internal/settings"
+)
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{
+		ID:       "routes.publisher",
+		New:      func() kernel.Module { return &Publisher{} },
+		Needs:    []kernel.Capability{kernel.CapControlClient},
+		Provides: []kernel.Capability{kernel.CapRoutePublisher},
+		Enabled:  kernel.ForRoutes(settings.RoleControl),
+	})
+}
+
+// Publisher implements kernel.RoutePublisher.
+type Publisher struct{ client kernel.EncodedControlClient }
+
+// Provision implements kernel.Provisioner.
+func (p *Publisher) Provision(ctx *kernel.Context) error {
+	var err error
+	p.client, err = kernel.Lookup[kernel.EncodedControlClient](ctx)
+	return err
+}
+
+// Publish implements kernel.RoutePublisher.
+func (p *Publisher) Publish(ctx context.Context, pub routes.Publication) (routes.Version, error) {
+	data, err := routescodec.Encode(pub)
+	if err != nil {
+		return 0, errs.Wrap(err, errs.KindInvalid, "correct the text of the routes", "the route table cannot be encoded")
+	}
+	result, err := p.client.ProposeEncoded(ctx, data)
+	if err != nil {
+		return 0, err
+	}
+	return routescodec.DecodeResult(result)
+}
+
+// Newest implements kernel.RoutePublisher.
+func (p *Publisher) Newest(ctx context.Context) (routes.Publication, error) {
+	data, err := p.client.ReadEncoded(ctx, nil)
+	if err != nil {
+		return routes.Publication{}, err
+	}
+	if len(data) == 0 {
+		return routes.Publication{}, errs.New(errs.KindUnavailable, "publish a route table first", "no route table was published yet")
+	}
+	return routescodec.Decode(data)
+}
