--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -150,7 +150,10 @@
 	p := &r.parts[i]
 	pending := p.pending()
 	if pending == nil {
-		return r.startPart(now, i, sends), r.end
+		sends = r.startPart(now, i, sends)
+		if pending = p.pending(); pending == nil {
+			return sends, r.end
+		}
 	}
 	if !r.route.Repeatable || p.exhausted || pending.hedged || !r.mayRepeat(p) {
 		return sends, r.end
