--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -20,7 +20,7 @@
 	// stalled: twice is beyond nearly all of the spread of usual work.
 	stallFactor = 2
 	// farPenalty prices an answer from another availability zone, which costs bytes between zones besides its delay.
-	farPenalty = 1.25
+	farPenalty = 2
 	// warmPenalty is how much slower a leaf is expected to be until it is warm.
 	warmPenalty = 1.6
 	// failurePenalty scales the expected latency of a leaf by its share of failures.
--- a/internal/modules/forwarder/module.go
+++ b/internal/modules/forwarder/module.go
@@ -39,7 +39,7 @@
 		Provides: []kernel.Capability{kernel.CapForwarder},
 		Enabled:  kernel.ForRoutes(settings.RoleEntry),
 		Settings: []settings.Key{
-			{Section: section, Name: "caller_delay", Kind: settings.KindDuration, Default: "8ms", Max: 10, Help: "time that a request and its answer travel between callers and this VM, together"},
+			{Section: section, Name: "caller_delay", Kind: settings.KindDuration, Default: "12ms", Max: 10, Help: "time that a request and its answer travel between callers and this VM, together"},
 			{Section: section, Name: "hedge_quantile", Kind: settings.KindFloat, Default: "0.92", Min: 0.5, Max: 0.999, Help: "quantile of the latency of a route after which an attempt is hedged"},
 			{Section: section, Name: "repeat_ratio", Kind: settings.KindFloat, Default: "0.2", Max: 10, Help: "attempts beyond the first that all entry VMs together may send to a service, as a share of the requests for it"},
 			{Section: section, Name: "repeat_slack", Kind: settings.KindInt, Default: "50", Max: 1000000, Help: "attempts beyond the first that are allowed beside the share"},
@@ -63,7 +63,6 @@
 	metrics   metrics
 	options   forward.Options
 	limits    forward.BudgetLimits
-	newRandom func() *rand.Rand
 	now       func() time.Time
 
 	mu      sync.Mutex
