Leave room for the connections of VMs that come back

Parts whose leaves all refused failed within 6 ms, and requests were answered 502. Ruled out: late routes or a late election; routes were there 0.3 s after the start. Entry VMs connected 0.7 s after the control VMs listened, because the wait between attempts had doubled twice.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -15,7 +15,10 @@
 	// caller that is refused this early can still be served in time by another VM.
 	patienceShare = 4
 	// unsentAttempts is how many attempts beyond the allowed number a shard gets when leaves did not run the others.
-	unsentAttempts = 2
+	unsentAttempts = 4
+	// roundPause is the pause before leaves are tried again of which none ran the request: a queue gets shorter, and a
+	// connection is free, within about the time of one request.
+	roundPause = 15 * time.Millisecond
 	// coverageSlack absorbs the rounding of a share that is meant to be a whole number of parts.
 	coverageSlack = 1e-9
 	// minTimeLeft is the least time for which an attempt is started.
@@ -65,6 +68,8 @@
 	failed  bool
 	// waiting says that no leaf has room.
 	waiting bool
+	// retryAt is when leaves are tried again that did not run the request. It is zero before all were tried.
+	retryAt time.Time
 	// exhausted says that the budget allowed no further attempt.
 	exhausted bool
 }
@@ -152,6 +157,9 @@
 	if pending == nil {
 		sends = r.startPart(now, i, sends)
 		if pending = p.pending(); pending == nil {
+			if p.retryAt.After(now) {
+				return sends, p.retryAt
+			}
 			return sends, r.end
 		}
 	}
@@ -186,7 +194,13 @@
 	if r.end.Sub(now) < minTimeLeft {
 		return sends
 	}
+	if now.Before(p.retryAt) {
+		return sends
+	}
 	leaf := r.env.Choose(now, p.service, p.tried)
+	if leaf == nil && r.anotherRound(now, p) {
+		return sends
+	}
 	if leaf == nil {
 		// A part whose leaves were all tried fails; one whose leaves have no room waits for it.
 		p.waiting = r.env.Known(p.service, p.tried) || len(p.attempts) == 0 && now.Before(r.refuseAt)
@@ -205,6 +219,24 @@
 	return r.send(now, i, leaf, sends)
 }
 
+// anotherRound lets a part go through its leaves again after a pause, if it was sent to all of them and none ran it.
+func (r *Run) anotherRound(now time.Time, p *part) bool {
+	until := r.refuseAt
+	if r.route.Gathers() {
+		until = r.answerBy // The other parts are worth waiting for.
+	}
+	if len(p.attempts) == 0 || r.env.Known(p.service, p.tried) || !now.Before(until) {
+		return false
+	}
+	for i := range p.attempts {
+		if p.attempts[i].ran {
+			return false
+		}
+	}
+	p.tried, p.retryAt = nil, now.Add(roundPause)
+	return true
+}
+
 func (r *Run) send(now time.Time, i int, leaf *leaves.Member, sends []Send) []Send {
 	p := &r.parts[i]
 	p.attempts = append(p.attempts, attempt{leaf: leaf, started: now})
--- a/internal/forward/run_test.go
+++ b/internal/forward/run_test.go
@@ -117,7 +117,15 @@
 	sends, _, _ = r.Step(at(2))
 	require.Equal(t, "a3", sends[0].Leaf.ID)
 	r.Ended(0, 2, status(503, true))
-	_, response, _ := r.Step(at(3))
+	sends, response, wake := r.Step(at(3))
+	require.Empty(t, sends)
+	require.Nil(t, response)
+	sends, _, _ = r.Step(wake)
+	require.Equal(t, "a1", sends[0].Leaf.ID, "all are tried again after a pause")
+	for n := 3; n < 6; n++ {
+		r.Ended(0, n, status(503, true))
+		_, response, _ = r.Step(at(50 + n))
+	}
 	require.Equal(t, KindRefused, response.Kind, "no leaf ran it, and none will")
 	require.Positive(t, response.RetryAfter)
 }
--- a/internal/modules/forwarder/runner.go
+++ b/internal/modules/forwarder/runner.go
@@ -77,8 +77,8 @@
 	}
 }
 
-// maxUnsent is how many attempts beyond the allowed number a part can have.
-const maxUnsent = 4
+// maxUnsent is above the number of attempts beyond the allowed one that a part can have.
+const maxUnsent = 8
 
 func (r *runner) take(x attemptEnd) {
 	x.flight.ended = true
--- a/internal/modules/leafpool/module.go
+++ b/internal/modules/leafpool/module.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -40,6 +41,9 @@
 const (
 	// defaultConnections is what a leaf is assumed to accept when its service does not say.
 	defaultConnections = 64
+	// usedShare is the part of a leaf's connections that all entry VMs use. The leaf goes on counting connections of VMs
+	// that lost power or were cut off, and the VMs that come back need room beside them.
+	usedShare = 0.6
 	// probesLost is how many unanswered probes end a connection.
 	probesLost = 2
 	// idleMargin is how long before its end an idle connection is not used any more, so that a request does not
@@ -150,8 +154,8 @@
 	}
 }
 
-// limit returns how many connections this VM may have to a leaf. The shares of all entry VMs together are no more
-// than the leaf accepts; each VM may have one, since it could not reach the leaf otherwise.
+// limit returns how many connections this VM may have to a leaf: an equal share of those that are used. Each VM may have
+// one, since it could not reach the leaf otherwise.
 func (m *Module) limit(l *leaves.Member) int {
 	v := m.control.View()
 	accepts := defaultConnections
@@ -164,7 +168,7 @@
 	if vms == 0 {
 		vms = m.assumed
 	}
-	return max(1, accepts/vms)
+	return max(1, int(math.Round(usedShare*float64(accepts)/float64(vms))))
 }
 
 // Room implements kernel.LeafTransport.
--- a/internal/modules/membership/module.go
+++ b/internal/modules/membership/module.go
@@ -49,6 +49,9 @@
 	// entryLapse is how long an entry VM counts that does not watch any more. A VM that is restarted or frozen for
 	// a few seconds keeps its part of the connections.
 	entryLapse = 10 * time.Second
+	// countAfter is how long a control VM has to run before it knows how many entry VMs there are. All of them connect
+	// within a few seconds.
+	countAfter = 5 * time.Second
 	// forgetSource is how long the news of a control VM that is not reachable are used.
 	forgetSource = 60 * time.Second
 )
@@ -106,6 +109,8 @@
 	index     *leaves.Index
 	entryVMs  int
 	state     kernel.RouteState
+	// started is when the process started.
+	started time.Time
 	// changed is closed when there is something new for those that watch.
 	changed chan struct{}
 	ready   bool
@@ -130,7 +135,7 @@
 		Lapse: s.Duration(section, "leaf_lapse"), OrphanLapse: s.Duration(section, "orphan_lapse"), Retain: s.Duration(section, "retain"),
 	})
 	m.sources, m.entrySeen = map[model.VMName]*source{}, map[model.VMName]time.Time{}
-	m.changed = make(chan struct{})
+	m.changed, m.started = make(chan struct{}), ctx.Now()
 	m.run, m.cancel = context.WithCancel(context.Background())
 	var err error
 	if m.peers, err = kernel.Lookup[kernel.PeerTransport](ctx); err != nil {
--- a/internal/modules/membership/watch.go
+++ b/internal/modules/membership/watch.go
@@ -79,7 +79,7 @@
 			if !req.GetControl() {
 				m.entrySeen[from] = now
 			}
-			reply, changed = m.news(&req, last), m.changed
+			reply, changed = m.news(now, &req, last), m.changed
 		})
 		if err != nil {
 			return nil, err
@@ -100,7 +100,7 @@
 }
 
 // news returns what is new for a VM, or nil. With always it returns a reply without news.
-func (m *Module) news(req *membershippb.WatchRequest, always bool) *membershippb.WatchReply {
+func (m *Module) news(now time.Time, req *membershippb.WatchRequest, always bool) *membershippb.WatchReply {
 	position := req.GetPosition()
 	if req.GetIncarnation() != m.incarnation {
 		position = 0
@@ -112,7 +112,9 @@
 	list, complete := m.table.Since(position)
 	reply := &membershippb.WatchReply{
 		Incarnation: m.incarnation, Position: m.table.Position(), Complete: complete,
-		EntryVms: uint32(len(m.entrySeen)),
+	}
+	if now.Sub(m.started) > countAfter {
+		reply.EntryVms = uint32(len(m.entrySeen))
 	}
 	for i := range list {
 		reply.Leaves = append(reply.Leaves, encodeLeaf(&list[i]))
