Free a connection's place once the target has closed its end

A place counted as free 20 ms after the entry VM closed its connection, whether or not the target had seen the close; the new test fails on that with 3 connections open where 1 is allowed. Ruled out: the hand-over of the seat itself, which waits until no place is taken. Change: Close ends the sending side, waits up to 1 s for the target's end, and keeps the 20 ms. The stand-in counts a connection as closed before the other side can see it.

--- a/internal/modules/transport/pool.go
+++ b/internal/modules/transport/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -11,8 +12,12 @@
 	"github.com/chestnuttiller/chestnuttiller/internal/errs"
 )
 
-// closeGrace is how long a closed connection goes on counting against the share. The target learns of the close
-// a little later, and a new connection could reach it before.
+// closeLimit bounds the wait for a target to close its end of a connection. Until then the target counts it, and a new
+// connection in its place could be refused. A target that answers nothing for this long is slow or frozen.
+const closeLimit = time.Second
+
+// closeGrace is how long a place stays taken after the target has closed its end, since a target may count the
+// connection a little longer.
 const closeGrace = 20 * time.Millisecond
 
 // pool holds the connections to one incarnation of a target. It never has more open than the share, and keeps
@@ -25,7 +30,7 @@
 	cancel      context.CancelFunc
 
 	mu sync.Mutex
-	// open counts connections that are dialed, in use, idle or closed only a moment ago.
+	// open counts connections that are dialed, in use, idle or not yet closed by the target.
 	open   int
 	share  int
 	warm   int
@@ -191,17 +196,33 @@
 	return c.Conn.Write(b)
 }
 
-// Close closes the connection and frees its place a little later. The pool then opens a spare one in its stead.
+// Close ends the connection and frees its place once the target has closed its end. The pool then opens a spare one in
+// its stead.
 func (c *countedConn) Close() error {
 	if c.closed.Swap(true) {
 		return nil
 	}
-	err := c.Conn.Close()
-	time.AfterFunc(closeGrace, func() {
-		c.pool.release()
-		if c.pool.ctx.Err() == nil && !c.refused.Load() {
-			c.pool.warmUp()
-		}
-	})
-	return err
+	err := c.Conn.SetDeadline(time.Now().Add(closeLimit))
+	if t, ok := c.Conn.(*net.TCPConn); ok && err == nil {
+		err = t.CloseWrite()
+	}
+	if err != nil { // The connection is broken already, so there is no end to wait for.
+		err = c.Conn.Close()
+		time.AfterFunc(closeGrace, c.free)
+		return err
+	}
+	go func() {
+		// Bytes that still arrive belong to no attempt. The copy ends with the connection or at the limit.
+		_, _ = io.Copy(io.Discard, c.Conn)
+		_ = c.Conn.Close()
+		time.AfterFunc(closeGrace, c.free)
+	}()
+	return nil
+}
+
+func (c *countedConn) free() {
+	c.pool.release()
+	if c.pool.ctx.Err() == nil && !c.refused.Load() {
+		c.pool.warmUp()
+	}
 }
--- a/internal/modules/transport/transport_test.go
+++ b/internal/modules/transport/transport_test.go
@@ -266,3 +266,37 @@
 		require.Equal(t, model.ReplyOK, r.Status, r.Reason)
 	}
 }
+
+// Guards against a place that is used again before a busy target has seen the end of the connection that held it. The
+// target would refuse the new connection, or go beyond its limit.
+func TestPlaceIsFreeOnceTheTargetHasClosed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	var open, highest atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			highest.Store(max(highest.Load(), open.Add(1)))
+			go func() {
+				_, _ = io.Copy(io.Discard, c) // The end of the connection is what it waits for.
+				time.Sleep(100 * time.Millisecond)
+				open.Add(-1)
+				_ = c.Close()
+			}()
+		}
+	}()
+	p := newPool(newModule(), l.Addr().String(), 1)
+	defer p.close()
+	for range 3 {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		c, err := p.dial(ctx, "", "")
+		cancel()
+		require.NoError(t, err)
+		require.NoError(t, c.Close())
+	}
+	require.EqualValues(t, 1, highest.Load())
+}
--- a/internal/standin/listener.go
+++ b/internal/standin/listener.go
@@ -96,12 +96,12 @@
 
 // Close implements net.Conn.
 func (c *limitedConn) Close() error {
-	err := c.Conn.Close()
+	// The place is free before the other end can see the close, since it may open the next connection at once.
 	c.close.Do(func() {
 		close(c.closed)
 		c.ledger.update(func(n *Counts) { n.Connections-- })
 	})
-	return err
+	return c.Conn.Close()
 }
 
 func (c *limitedConn) pass() {
