--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -73,6 +73,7 @@
 	if failure == nil {
 		failure = k.Drain(limit)
 	}
+	_ = level.Info(logger).Log("msg", "process ends", "err", failure)
 	return errors.CombineErrors(failure, k.Stop(limit))
 }
 
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -45,8 +45,18 @@
 	CallerDelay time.Duration
 }
 
+// cause is why an attempt was started.
+type cause string
+
+const (
+	causeFirst cause = "first"
+	causeRetry cause = "retry"
+	causeHedge cause = "hedge"
+)
+
 type attempt struct {
 	leaf    *leaves.Member
+	cause   cause
 	started time.Time
 	ended   bool
 	// sent and ran are known once the attempt has ended.
@@ -180,7 +190,7 @@
 		return sends, r.end
 	}
 	pending.hedged = true
-	return r.send(now, i, leaf, sends), r.end
+	return r.send(now, i, leaf, causeHedge, sends), r.end
 }
 
 // startPart sends a part that no leaf is working on.
@@ -216,7 +226,11 @@
 		return sends
 	}
 	p.waiting = false
-	return r.send(now, i, leaf, sends)
+	why := causeRetry
+	if len(p.attempts) == 0 {
+		why = causeFirst
+	}
+	return r.send(now, i, leaf, why, sends)
 }
 
 // anotherRound lets a part go through its leaves again after a pause, if it was sent to all of them and none ran it.
@@ -237,9 +251,9 @@
 	return true
 }
 
-func (r *Run) send(now time.Time, i int, leaf *leaves.Member, sends []Send) []Send {
+func (r *Run) send(now time.Time, i int, leaf *leaves.Member, why cause, sends []Send) []Send {
 	p := &r.parts[i]
-	p.attempts = append(p.attempts, attempt{leaf: leaf, started: now})
+	p.attempts = append(p.attempts, attempt{leaf: leaf, cause: why, started: now})
 	p.tried = append(p.tried, leaf)
 	r.sent = true
 	return append(sends, Send{Part: i, Attempt: len(p.attempts) - 1, Leaf: leaf, Until: r.end})
@@ -425,8 +439,8 @@
 // Answered returns how many parts are in, and of how many.
 func (r *Run) Answered() (in, of int) { return r.answered, len(r.parts) }
 
-// Describe lists the attempts at the parts without a reply: the service, and for each leaf the age of its last news
-// here, the time since the attempt and how it ended.
+// Describe lists the attempts at the parts without a reply: the service, and for each attempt its cause, the leaf with
+// its address and the sequence number of the heartbeat that listed it, the age of the attempt and how it ended.
 func (r *Run) Describe(now time.Time) string {
 	var b strings.Builder
 	for i := range r.parts {
@@ -434,20 +448,25 @@
 		if p.reply != nil {
 			continue
 		}
+		if b.Len() > 0 {
+			b.WriteByte(' ')
+		}
 		fmt.Fprintf(&b, "%s[", p.service)
 		for n := range p.attempts {
 			a := &p.attempts[n]
-			fmt.Fprintf(&b, " %s@%s after %dms: %s", a.leaf.ID, a.leaf.Address, now.Sub(a.started).Milliseconds(), a.outcome())
-		}
-		if p.waiting {
-			b.WriteString(" no leaf has room")
+			fmt.Fprintf(&b, "%s %s@%s/%d %dms ago: %s; ", a.cause, a.leaf.ID, a.leaf.Address, a.leaf.Sequence, now.Sub(a.started).Milliseconds(), a.outcome())
 		}
-		if p.exhausted {
-			b.WriteString(" repeat budget used up")
+		switch {
+		case p.exhausted:
+			b.WriteString("repeat budget used up")
+		case len(p.attempts) == 0 && !r.env.Known(p.service, nil):
+			b.WriteString("no leaf is known")
+		case p.waiting:
+			b.WriteString("no leaf has room")
 		}
-		b.WriteString(" ] ")
+		b.WriteByte(']')
 	}
-	return strings.TrimSpace(b.String())
+	return b.String()
 }
 
 func (a *attempt) outcome() string {
