Wait while a full disk refuses writes over allocated space

Cause: on the users' platform a full disk refuses every write, also into the preallocated segment. Ruled out: preallocation as the remedy, which only covers growth. The new test fails without the change.

--- a/internal/fsys/fsystest/memory.go
+++ b/internal/fsys/fsystest/memory.go
@@ -25,6 +25,7 @@
 	durable map[string]*content
 	// capacity bounds the sum of all file sizes; 0 means no bound.
 	capacity int
+	refuse   bool
 	syncErr  error
 	// syncs counts the syncs of files.
 	syncs int
@@ -44,6 +45,13 @@
 	m.capacity = bytes
 }
 
+// RefuseWrites makes every write fail as on a disk that is full beyond its files.
+func (m *Memory) RefuseWrites(refuse bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.refuse = refuse
+}
+
 // Used returns the sum of all file sizes.
 func (m *Memory) Used() int {
 	m.mu.Lock()
@@ -201,6 +209,9 @@
 	f.fs.mu.Lock()
 	defer f.fs.mu.Unlock()
 	grow := int(at) + len(p) - len(f.c.current)
+	if f.fs.refuse {
+		return 0, syscall.ENOSPC
+	}
 	if grow > 0 && f.fs.capacity > 0 && f.fs.used()+grow > f.fs.capacity {
 		return 0, syscall.ENOSPC
 	}
--- a/internal/modules/controllog/disk.go
+++ b/internal/modules/controllog/disk.go
@@ -51,6 +51,8 @@
 	mu     sync.Mutex
 	queue  []any
 	closed bool
+	// quit is closed with the queue, and ends a wait for space.
+	quit chan struct{}
 	signal chan struct{}
 	done   chan struct{}
 
@@ -62,7 +64,8 @@
 }
 
 func startDisk(st *storage, post func(kernel.Event), fatal func(error), synced func(time.Duration)) *disk {
-	d := &disk{storage: st, post: post, fatal: fatal, synced: synced, signal: make(chan struct{}, 1), done: make(chan struct{})}
+	d := &disk{storage: st, post: post, fatal: fatal, synced: synced, signal: make(chan struct{}, 1), done: make(chan struct{}), quit: make(chan struct{})}
+	st.log.SetWaitForSpace(d.waitForSpace)
 	go d.run()
 	return d
 }
@@ -85,7 +88,10 @@
 // close finishes the queue and closes the files.
 func (d *disk) close() {
 	d.mu.Lock()
-	d.closed = true
+	if !d.closed {
+		d.closed = true
+		close(d.quit)
+	}
 	d.mu.Unlock()
 	d.wake()
 	<-d.done
@@ -163,7 +169,7 @@
 	}
 	var records []wal.Record
 	if s := w.Snapshot; s != nil {
-		if err := d.storage.snaps.Save(s.Index, logcodec.EncodeSnapshot(s)); err != nil {
+		if err := d.saveWaiting(s); err != nil {
 			return err
 		}
 		records = append(records, wal.Record{Type: wal.TypeReset, Index: s.Index})
@@ -203,6 +209,35 @@
 	return d.storage.log.Release(d.storage.snaps.Oldest())
 }
 
+// spaceRetry is the pause before a write is tried again that a full disk refused.
+const spaceRetry = 200 * time.Millisecond
+
+// waitForSpace reports a full disk, and whether the write is to be tried again after a pause.
+func (d *disk) waitForSpace(err error) bool {
+	if !d.full {
+		d.full = true
+		d.post(diskFullEvent{errs.Wrap(err, errs.KindDiskFull, "free space in the data folder", "the disk of the control log refuses writes")})
+	}
+	t := time.NewTimer(spaceRetry)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-d.quit:
+		return false
+	}
+}
+
+// saveWaiting stores a received snapshot, without which the log cannot go on, and waits while the disk is full.
+func (d *disk) saveWaiting(s *consensus.Snapshot) error {
+	for {
+		err := d.storage.snaps.Save(s.Index, logcodec.EncodeSnapshot(s))
+		if errs.KindOf(err) != errs.KindDiskFull || !d.waitForSpace(err) {
+			return err
+		}
+	}
+}
+
 // reserve allocates the next segment ahead of its use and reports a change of the result.
 func (d *disk) reserve() error {
 	err := d.storage.log.Reserve()
--- a/internal/modules/controllog/module_test.go
+++ b/internal/modules/controllog/module_test.go
@@ -280,6 +280,24 @@
 	require.Empty(t, failures)
 }
 
+// TestRefusedWritesWait guards against a process that ends, or a write that is lost, because a full disk refuses writes
+// over allocated space as well.
+func TestRefusedWritesWait(t *testing.T) {
+	d, fs, events, failures := testDisk(t)
+	fs.RefuseWrites(true)
+	d.enqueue(write(1))
+	ev := (<-events).(diskFullEvent)
+	require.Equal(t, errs.KindDiskFull, errs.KindOf(ev.err))
+	fs.RefuseWrites(false)
+	require.Equal(t, persistedEvent{1}, <-events)
+	require.Equal(t, diskFullEvent{}, <-events)
+	require.Empty(t, failures)
+	fs.RefuseWrites(true)
+	d.enqueue(write(2))
+	<-events
+	d.close() // It does not wait for space.
+}
+
 // TestFullDiskIsReported guards against a full disk that ends the process, or that is not noticed when it has room
 // again.
 func TestFullDiskIsReported(t *testing.T) {
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -51,6 +51,22 @@
 	spare    bool
 	failure  error
 	buffer   []byte
+	// waitForSpace is called when the disk is full. The write is tried again when it returns true.
+	waitForSpace func(error) bool
+}
+
+// SetWaitForSpace lets writes wait while the disk is full, instead of failing for good. Some disks refuse writes over
+// allocated space as well. Nothing is lost by trying again, since the same bytes go to the same place.
+func (l *Log) SetWaitForSpace(wait func(error) bool) { l.waitForSpace = wait }
+
+// retry runs fn until the disk has room for it, or nobody waits any more.
+func (l *Log) retry(fn func() error) error {
+	for {
+		err := fn()
+		if KindOf(err) != errs.KindDiskFull || l.waitForSpace == nil || !l.waitForSpace(err) {
+			return err
+		}
+	}
 }
 
 func (l *Log) path(name string) string { return filepath.Join(l.folder, name) }
@@ -95,7 +111,10 @@
 	if len(l.buffer) == 0 {
 		return nil
 	}
-	_, err := l.file.WriteAt(l.buffer, l.offset)
+	err := l.retry(func() error {
+		_, err := l.file.WriteAt(l.buffer, l.offset)
+		return err
+	})
 	l.offset += int64(len(l.buffer))
 	l.buffer = l.buffer[:0]
 	return err
@@ -140,7 +159,7 @@
 		}
 		l.group = l.seq
 	}
-	if err := l.createSpare(); err != nil {
+	if err := l.retry(l.createSpare); err != nil {
 		return err
 	}
 	return l.useSpare()
