--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -23,11 +23,15 @@
 		Short: "Run a process of the system with the roles that its settings name",
 		Args:  noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			// The default action of SIGHUP ends the process, so it is caught before anything else is done.
+			reloads := make(chan os.Signal, 1)
+			signal.Notify(reloads, syscall.SIGHUP)
+			defer signal.Stop(reloads)
 			s, err := settings.Load(path, kernel.SettingsKeys())
 			if err != nil {
 				return err
 			}
-			return runKernel(cmd.Context(), s, path)
+			return runKernel(cmd.Context(), s, path, reloads)
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", "chestnuttiller.ini", "settings file of this process")
@@ -36,13 +40,10 @@
 
 // runKernel runs a process until a signal or a failure ends it. SIGTERM and SIGINT drain it; a second signal
 // changes nothing, since the limit for the whole shutdown is a setting. SIGHUP reads the settings file again.
-func runKernel(ctx context.Context, s *settings.Settings, path string) error {
+func runKernel(ctx context.Context, s *settings.Settings, path string, reloads <-chan os.Signal) error {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	defer signal.Stop(reloads)
 	if mb := s.Int("vm", "memory_limit_mb"); mb > 0 {
 		debug.SetMemoryLimit(int64(mb) << 20)
 	}
