--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -12,8 +12,14 @@
 )
 
 const (
-	// paceWeight is the weight of a new observation in the moving averages of a leaf, which follow about the last ten.
-	paceWeight = 0.1
+	// paceWeight is the least weight of a new observation in the moving averages of a leaf, which follow about the last
+	// ten. Where observations are rare, the weight grows with the time since the last one, up to paceWeightMax, so that
+	// the averages follow a leaf that turns slow within about paceSpan.
+	paceWeight    = 0.1
+	paceWeightMax = 0.4
+	paceSpan      = 2 * time.Second
+	// paceMax bounds an observation, so that one pause of a leaf does not count for more than a leaf that stays slow.
+	paceMax = 10
 	// loadMaxAge is how long a load report counts. Leaves answer several times within it under usual traffic.
 	loadMaxAge = 300 * time.Millisecond
 	// stallFactor times the expected latency is the age of an unanswered attempt from which on its leaf counts as
@@ -57,6 +63,7 @@
 type leafStats struct {
 	// pace is the latency relative to what is usual for the route. It is 0 before the first answer.
 	pace     float64
+	paceAt   time.Time
 	failures float64
 	inRow    int
 	started  []time.Time
@@ -225,7 +232,9 @@
 	if s.pace == 0 {
 		s.pace = pace
 	}
-	s.pace += paceWeight * (min(pace, 10) - s.pace)
+	weight := min(max(float64(now.Sub(s.paceAt))/float64(paceSpan), paceWeight), paceWeightMax)
+	s.paceAt = now
+	s.pace += weight * (min(pace, paceMax) - s.pace)
 }
 
 func newHistogram() *hdrhistogram.Histogram {
