Take leaves and routes from two control VMs instead of all

Change: a watch can be light; an entry VM takes leaves and routes from two control VMs that answer, its own zone's first, and control VMs take routes from the log only.

--- a/internal/modules/membership/module.go
+++ b/internal/modules/membership/module.go
@@ -3,7 +3,10 @@
 package membership
 
 import (
+	"cmp"
 	"context"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -13,6 +16,7 @@
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
+	"github.com/chestnuttiller/chestnuttiller/internal/rendezvous"
 	"github.com/chestnuttiller/chestnuttiller/internal/routes"
 	"github.com/chestnuttiller/chestnuttiller/internal/settings"
 )
@@ -52,6 +56,9 @@
 	// countAfter is how long a control VM has to run before it knows how many entry VMs there are. All of them connect
 	// within a few seconds.
 	countAfter = 5 * time.Second
+	// fullSources is the number of control VMs from which an entry VM takes leaves and routes: the loss of one delays
+	// nothing, and a change does not travel to every entry VM from every control VM.
+	fullSources = 2
 	// forgetSource is how long the news of a control VM that is not reachable are used.
 	forgetSource = 60 * time.Second
 )
@@ -75,10 +82,14 @@
 	routes      *routes.Table
 	entryVMs    int
 	controlVMs  []model.VMName
+	// light says that leaves and routes were not asked for.
+	light bool
 }
 
 // source is what one control VM told this VM.
 type source struct {
+	// full says that leaves and routes are taken from it. The goroutine that follows it reads this.
+	full     atomic.Bool
 	copy     leaves.Copy
 	entryVMs int
 	contact  time.Time
@@ -92,6 +103,8 @@
 	self        model.VMName
 	incarnation uint64
 	controls    bool
+	zone        model.AvailabilityZone
+	now         func() time.Time
 	control     *kernel.Control
 	readiness   *kernel.Readiness
 	peers       kernel.PeerTransport
@@ -120,17 +133,21 @@
 	ready, draining, lapsed, routesVersion, entryVMs tally.Gauge
 }
 
+func newGauges(s tally.Scope) gauges {
+	return gauges{
+		ready: s.Gauge("leaves_ready"), draining: s.Gauge("leaves_draining"), lapsed: s.Gauge("leaves_lapsed"),
+		routesVersion: s.Gauge("routes_version"), entryVMs: s.Gauge("entry_vms"),
+	}
+}
+
 // Provision implements kernel.Provisioner.
 func (m *Module) Provision(ctx *kernel.Context) error {
 	s := ctx.Settings
 	m.settings, m.self, m.incarnation = s, ctx.VM.VM, ctx.VM.Incarnation
 	m.controls = s.HasRole(settings.RoleControl)
+	m.zone, m.now = ctx.AvailabilityZone, ctx.Now
 	m.control, m.readiness, m.logger = ctx.Control, ctx.Readiness, ctx.Logger("membership")
-	scope := ctx.Scope("membership")
-	m.gauges = gauges{
-		ready: scope.Gauge("leaves_ready"), draining: scope.Gauge("leaves_draining"), lapsed: scope.Gauge("leaves_lapsed"),
-		routesVersion: scope.Gauge("routes_version"), entryVMs: scope.Gauge("entry_vms"),
-	}
+	m.gauges = newGauges(ctx.Scope("membership"))
 	m.table = leaves.NewTable(m.self, leaves.Config{
 		Lapse: s.Duration(section, "leaf_lapse"), OrphanLapse: s.Duration(section, "orphan_lapse"), Retain: s.Duration(section, "retain"),
 	})
@@ -178,6 +195,7 @@
 		m.take(now, x)
 	case peersEvent:
 		m.followAll()
+		m.chooseSources(now)
 	case kernel.RoutesChanged:
 		m.takeRoutes(m.self, x.Table)
 	}
@@ -190,8 +208,42 @@
 	}
 	for _, p := range m.peers.Peers() {
 		if p.Control && m.sources[p.VM] == nil {
-			m.sources[p.VM] = &source{}
-			go m.follow(m.run, p.VM)
+			s := &source{}
+			m.sources[p.VM] = s
+			m.chooseSources(m.now())
+			go m.follow(m.run, p.VM, s)
+		}
+	}
+}
+
+// chooseSources chooses the control VMs from which leaves and routes are taken: those that answer before the others, then
+// those of the own availability zone, then by a hash that spreads entry VMs over the control VMs. A control VM hears from
+// all others.
+func (m *Module) chooseSources(now time.Time) {
+	zones := map[model.VMName]model.AvailabilityZone{}
+	connected := map[model.VMName]bool{}
+	for _, p := range m.peers.Peers() {
+		zones[p.VM], connected[p.VM] = p.AvailabilityZone, p.Connected
+	}
+	var names []model.VMName
+	for vm := range m.sources {
+		names = append(names, vm)
+	}
+	rank := func(vm model.VMName) int {
+		switch s := m.sources[vm]; {
+		case !connected[vm] || s.told && now.Sub(s.contact) > watchTimeout:
+			return 2
+		case zones[vm] != m.zone:
+			return 1
+		}
+		return 0
+	}
+	order := rendezvous.Top(string(m.self), names, len(names))
+	slices.SortStableFunc(order, func(a, b model.VMName) int { return cmp.Compare(rank(a), rank(b)) })
+	for i, vm := range order {
+		full := m.controls || i < fullSources
+		if s := m.sources[vm]; s.full.Swap(full) != full {
+			_ = level.Info(m.logger).Log("msg", "source of leaves and routes changed", "from", vm, "full", full)
 		}
 	}
 }
@@ -213,6 +265,9 @@
 		_ = level.Info(m.logger).Log("msg", "control VM answers", "from", x.from, "leaves", len(x.news.leaves), "entry_vms", x.news.entryVMs)
 	}
 	s.contact = now
+	if x.news.light {
+		m.dropCopy(now, s)
+	}
 	for _, vm := range x.news.controlVMs {
 		m.addControl(vm)
 	}
@@ -222,8 +277,10 @@
 		m.merge(now, x)
 		return
 	}
-	s.copy.Apply(x.news.leaves, x.news.complete)
-	if len(x.news.leaves) > 0 || x.news.complete {
+	if !x.news.light {
+		s.copy.Apply(x.news.leaves, x.news.complete)
+	}
+	if !x.news.light && (len(x.news.leaves) > 0 || x.news.complete) {
 		m.logLeaves(x.from, x.news.leaves)
 		m.join(now)
 	}
@@ -234,6 +291,20 @@
 	m.becomeReady()
 }
 
+// dropCopy forgets the leaves of a control VM from which they are not taken any more, once another one has told its own.
+func (m *Module) dropCopy(now time.Time, s *source) {
+	if s.copy.Leaves == nil || s.full.Load() {
+		return
+	}
+	for _, other := range m.sources {
+		if other != s && other.full.Load() && other.copy.Leaves != nil && now.Sub(other.contact) < watchTimeout {
+			s.copy = leaves.Copy{}
+			m.join(now)
+			return
+		}
+	}
+}
+
 // merge lets a control VM take over what another one hears from leaves.
 func (m *Module) merge(now time.Time, x newsEvent) {
 	before := m.table.Position()
@@ -281,7 +352,7 @@
 func (m *Module) join(now time.Time) {
 	var copies []*leaves.Copy
 	for _, s := range m.sources {
-		if s.told {
+		if s.copy.Leaves != nil {
 			copies = append(copies, &s.copy)
 		}
 	}
@@ -310,6 +381,7 @@
 
 // scan lets silent leaves, entry VMs and control VMs lapse.
 func (m *Module) scan(now time.Time) {
+	m.chooseSources(now)
 	if !m.controls {
 		m.countEntryVMs(now)
 		m.forgetSources(now)
--- /dev/null
+++ b/internal/modules/membership/module_test.go
@@ -0,0 +1,105 @@
+package membership
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
+	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
+	"github.com/chestnuttiller/chestnuttiller/internal/model"
+	"github.com/chestnuttiller/chestnuttiller/internal/modules/membership/membershippb"
+	"github.com/chestnuttiller/chestnuttiller/internal/routes"
+	"github.com/chestnuttiller/chestnuttiller/internal/settings"
+)
+
+// fakePeers is a transport that only lists VMs.
+type fakePeers []kernel.PeerStatus
+
+func (fakePeers) Handle(string, kernel.PeerHandler) {}
+func (fakePeers) Call(context.Context, model.VMName, kernel.PeerMessage) ([]byte, error) {
+	return nil, context.Canceled
+}
+func (fakePeers) Send(model.VMName, kernel.PeerMessage) bool { return false }
+func (f fakePeers) Peers() []kernel.PeerStatus               { return f }
+func (fakePeers) AddPeer(settings.Peer)                      {}
+func (fakePeers) OnChange(func(kernel.PeerStatus))           {}
+
+var start = time.Unix(1000, 0)
+
+func newModule() *Module {
+	peers := fakePeers{}
+	m := &Module{self: "e", zone: "z2", logger: log.NewNopLogger(), sources: map[model.VMName]*source{}, table: leaves.NewTable("e", leaves.Config{})}
+	for vm, zone := range map[model.VMName]model.AvailabilityZone{"a": "z1", "b": "z2", "c": "z3", "d": "z4"} {
+		peers = append(peers, kernel.PeerStatus{VM: vm, AvailabilityZone: zone, Connected: true, Control: true})
+		m.sources[vm] = &source{}
+	}
+	m.peers = peers
+	return m
+}
+
+func (m *Module) fullOnes() map[model.VMName]bool {
+	out := map[model.VMName]bool{}
+	for vm, s := range m.sources {
+		if s.full.Load() {
+			out[vm] = true
+		}
+	}
+	return out
+}
+
+// Guards against a large route table that reaches every entry VM from every control VM, and against an entry VM that
+// goes on with one that does not answer.
+func TestLeavesAndRoutesComeFromTwoControlVMs(t *testing.T) {
+	m := newModule()
+	m.chooseSources(start)
+	first := m.fullOnes()
+	require.Len(t, first, fullSources)
+	require.True(t, first["b"], "the own availability zone goes first")
+	m.sources["b"].told, m.sources["b"].contact = true, start
+	m.chooseSources(start.Add(watchTimeout + time.Second))
+	require.Len(t, m.fullOnes(), fullSources)
+	require.False(t, m.fullOnes()["b"], "it has not answered for longer than a watch takes")
+}
+
+// Guards against control VMs that send what was not asked for, or nothing to a VM that knows nothing.
+func TestNewsAreThoseThatWereAskedFor(t *testing.T) {
+	m := newModule()
+	m.incarnation = 7
+	m.routes = &routes.Table{Version: 3}
+	require.NoError(t, m.table.Hear(start, leaves.Leaf{ID: "i", Address: "h:1", State: leaves.Ready}))
+	full := &membershippb.WatchRequest{}
+	x := m.news(start, full, false)
+	require.Len(t, x.GetLeaves(), 1)
+	require.EqualValues(t, 3, x.GetRoutes().GetVersion())
+	full.Incarnation, full.Position, full.RoutesVersion = 7, x.GetPosition(), 3
+	require.Nil(t, m.news(start, full, false), "it knows everything")
+	full.RoutesVersion = 2
+	require.NotNil(t, m.news(start, full, false).GetRoutes())
+	light := &membershippb.WatchRequest{Light: true}
+	x = m.news(start, light, false)
+	require.Empty(t, x.GetLeaves())
+	require.Nil(t, x.GetRoutes())
+	light.Incarnation = 7
+	require.Nil(t, m.news(start, light, false))
+	require.Nil(t, m.news(start, &membershippb.WatchRequest{NoRoutes: true}, false).GetRoutes())
+}
+
+// Guards against leaves that are lost while another control VM takes over, and against old news that outlive it.
+func TestCopyIsDroppedOnceAnotherOneIsThere(t *testing.T) {
+	m := newModule()
+	m.control = kernel.NewTestControl()
+	m.sources["a"].copy.Apply([]leaves.Leaf{{ID: "i", Service: "s", State: leaves.Ready}}, true)
+	m.sources["c"].full.Store(true)
+	m.dropCopy(start, m.sources["a"])
+	require.NotNil(t, m.sources["a"].copy.Leaves)
+	m.sources["c"].copy.Apply(nil, true)
+	m.sources["c"].contact = start
+	m.gauges = newGauges(tally.NoopScope)
+	m.dropCopy(start, m.sources["a"])
+	require.Nil(t, m.sources["a"].copy.Leaves)
+}
--- a/internal/modules/membership/watch.go
+++ b/internal/modules/membership/watch.go
@@ -10,6 +10,7 @@
 
 	"github.com/chestnuttiller/chestnuttiller/internal/errs"
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
+	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
 	"github.com/chestnuttiller/chestnuttiller/internal/modules/membership/membershippb"
 )
@@ -18,10 +19,15 @@
 const kindWatch = "membership.watch"
 
 // follow asks one control VM for news, over and over. Each call is held there until there are some.
-func (m *Module) follow(run context.Context, vm model.VMName) {
-	req := &membershippb.WatchRequest{Control: m.controls}
+func (m *Module) follow(run context.Context, vm model.VMName, s *source) {
+	req := &membershippb.WatchRequest{Control: m.controls, NoRoutes: m.controls}
 	var lastErr string
 	for run.Err() == nil {
+		light := !s.full.Load()
+		if light != req.Light {
+			// What was told before is not kept up to date by a light watch.
+			req.Light, req.Position, req.Incarnation = light, 0, 0
+		}
 		if v := m.control.View().Routes; v != nil {
 			req.RoutesVersion = uint64(v.Version)
 		}
@@ -40,6 +46,7 @@
 			_ = level.Info(m.logger).Log("msg", "control VM answers again", "from", vm)
 			lastErr = ""
 		}
+		n.light = light
 		req.Incarnation, req.Position = n.incarnation, n.position
 		if m.control.PostWait(run, newsEvent{vm, n}) != nil {
 			return
@@ -102,14 +109,21 @@
 // news returns what is new for a VM, or nil. With always it returns a reply without news.
 func (m *Module) news(now time.Time, req *membershippb.WatchRequest, always bool) *membershippb.WatchReply {
 	position := req.GetPosition()
-	if req.GetIncarnation() != m.incarnation {
+	known := req.GetIncarnation() == m.incarnation
+	if !known {
 		position = 0
 	}
-	newRoutes := m.routes != nil && uint64(m.routes.Version) > req.GetRoutesVersion()
-	if !always && !newRoutes && position == m.table.Position() && req.GetIncarnation() == m.incarnation {
+	newRoutes := !req.GetNoRoutes() && !req.GetLight() && m.routes != nil && uint64(m.routes.Version) > req.GetRoutesVersion()
+	// The first light watch is answered at once, so that the follower knows that this VM answers.
+	news := newRoutes || !known || !req.GetLight() && position != m.table.Position()
+	if !always && !news {
 		return nil
 	}
-	list, complete := m.table.Since(position)
+	var list []leaves.Leaf
+	complete := false
+	if !req.GetLight() {
+		list, complete = m.table.Since(position)
+	}
 	reply := &membershippb.WatchReply{
 		Incarnation: m.incarnation, Position: m.table.Position(), Complete: complete,
 	}
