Start without slack in the repeat budget

All processes were killed at second 45.1, and each came back with a whole part of the slack that its earlier run had used in the same window. Ruled out: uncounted attempts; before the kill the windows stay below 0.9 of the bound. Change: a VM has no slack for one window after its start; the number of entry VMs falls only after 30 s with fewer; the safety is 0.85. Tests for both, for the order of waiting requests and for the bound on log lines.

--- a/internal/modules/forwarder/module.go
+++ b/internal/modules/forwarder/module.go
@@ -48,8 +48,9 @@
 	})
 }
 
-// budgetSafety keeps the attempts of all VMs below the bound although each counts by itself.
-const budgetSafety = 0.9
+// budgetSafety keeps the attempts of all VMs below the bound although each counts by itself and their number may be
+// known late.
+const budgetSafety = 0.85
 
 // lingerLimit is how long attempts go on that are still unanswered when the request is finished. Breaking them off
 // closes their connections, and a usual pause of a leaf is shorter.
@@ -65,6 +66,8 @@
 	limits    forward.BudgetLimits
 	now       func() time.Time
 
+	started time.Time
+
 	mu      sync.Mutex
 	tracker *forward.Tracker
 	budgets map[model.ServiceName]*forward.Budget
@@ -79,6 +82,7 @@
 func (m *Module) Provision(ctx *kernel.Context) error {
 	s := ctx.Settings
 	m.control, m.logger, m.now = ctx.Control, ctx.Logger("forward"), ctx.Now
+	m.started = ctx.Now()
 	m.metrics = newMetrics(ctx.Scope("forward"))
 	m.options = forward.Options{CallerDelay: s.Duration(section, "caller_delay")}
 	m.limits = forward.BudgetLimits{
@@ -137,6 +141,9 @@
 	}
 	l := m.limits
 	l.Slack /= float64(entryVMs(m.control.View()))
+	if m.now().Sub(m.started) < l.Window {
+		l.Slack = 0 // An earlier run of this VM may have used its part.
+	}
 	return b, l
 }
 
--- /dev/null
+++ b/internal/modules/forwarder/module_test.go
@@ -0,0 +1,78 @@
+package forwarder
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnuttiller/chestnuttiller/internal/forward"
+	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
+	"github.com/chestnuttiller/chestnuttiller/internal/model"
+	"github.com/chestnuttiller/chestnuttiller/internal/routes"
+)
+
+// Guards against VMs that are all restarted at once and use the slack of the shared budget a second time within its
+// window.
+func TestRestartedVMHasNoSlackAtFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := &Module{
+		control: kernel.NewTestControl(), budgets: map[model.ServiceName]*forward.Budget{}, started: now, now: func() time.Time { return now },
+		limits: forward.BudgetLimits{Ratio: 0.2, Slack: 64, Window: 10 * time.Second},
+	}
+	m.control.SetTestView(&kernel.View{EntryVMs: 4})
+	take := func() bool {
+		b, l := m.budget("s")
+		return b.Take(now, l, false)
+	}
+	require.False(t, take())
+	b, l := m.budget("s")
+	for range 5 {
+		b.First(now, l)
+	}
+	require.True(t, take(), "the share of its own requests is there at once")
+	require.False(t, take())
+	now = now.Add(11 * time.Second)
+	for range 16 {
+		require.True(t, take())
+	}
+	require.False(t, take(), "a quarter of the slack")
+}
+
+// Guards against a request of a higher rank that waits behind others, and against a wake-up that reaches nobody.
+func TestWaitersAreWokenByRank(t *testing.T) {
+	w := waiters{}
+	runnerOf := func(rank int) *runner {
+		return &runner{route: &routes.Route{Rank: rank}, wakes: make(chan struct{}, 1)}
+	}
+	late, early, urgent := runnerOf(2), runnerOf(2), runnerOf(0)
+	services := []model.ServiceName{"s"}
+	w.add(services, early)
+	w.add(services, late)
+	w.add(services, urgent)
+	for _, want := range []*runner{urgent, early, late} {
+		w.wake("s")
+		require.Len(t, want.wakes, 1)
+	}
+	w.remove(services, urgent)
+	w.remove(services, early)
+	w.remove(services, late)
+	require.Empty(t, w)
+	w.wake("s")
+}
+
+// Guards against log lines about failed requests that grow with the load, and against lines left out unsaid.
+func TestFailureLinesAreBounded(t *testing.T) {
+	var s sampler
+	now := time.Unix(1000, 0)
+	written := 0
+	for range 10 * failureLines {
+		if ok, _ := s.allow(now, true); ok {
+			written++
+		}
+	}
+	require.Equal(t, failureLines, written)
+	ok, leftOut := s.allow(now.Add(time.Second), true)
+	require.True(t, ok)
+	require.Equal(t, 9*failureLines, leftOut)
+}
--- a/internal/modules/membership/module.go
+++ b/internal/modules/membership/module.go
@@ -53,6 +53,9 @@
 	// entryLapse is how long an entry VM counts that does not watch any more. A VM that is restarted or frozen for
 	// a few seconds keeps its part of the connections.
 	entryLapse = 10 * time.Second
+	// countLower is how long fewer entry VMs have to be reported before the number falls. Control VMs that are cut off
+	// or restarted see fewer of them for a while.
+	countLower = 30 * time.Second
 	// countAfter is how long a control VM has to run before it knows how many entry VMs there are. All of them connect
 	// within a few seconds.
 	countAfter = 5 * time.Second
@@ -122,6 +125,8 @@
 	index     *leaves.Index
 	entryVMs  int
 	state     kernel.RouteState
+	// fewerSince is since when fewer entry VMs are reported than the number in use.
+	fewerSince time.Time
 	// started is when the process started.
 	started time.Time
 	// changed is closed when there is something new for those that watch.
@@ -370,7 +375,12 @@
 			n = max(n, s.entryVMs)
 		}
 	}
-	if n == m.entryVMs || n == 0 {
+	if n >= m.entryVMs {
+		m.fewerSince = time.Time{}
+	} else if m.fewerSince.IsZero() {
+		m.fewerSince = now
+	}
+	if n == m.entryVMs || n == 0 || n < m.entryVMs && now.Sub(m.fewerSince) < countLower {
 		return
 	}
 	_ = level.Info(m.logger).Log("msg", "number of entry VMs changed", "before", m.entryVMs, "now", n)
--- a/internal/modules/membership/module_test.go
+++ b/internal/modules/membership/module_test.go
@@ -103,3 +103,25 @@
 	m.dropCopy(start, m.sources["a"])
 	require.Nil(t, m.sources["a"].copy.Leaves)
 }
+
+// Guards against VMs that take larger parts of connections and budgets because a control VM was restarted or cut off.
+func TestNumberOfEntryVMsFallsLate(t *testing.T) {
+	m := newModule()
+	m.control, m.gauges = kernel.NewTestControl(), newGauges(tally.NoopScope)
+	report := func(at time.Time, n int) {
+		for _, s := range m.sources {
+			s.contact, s.entryVMs = at, n
+		}
+		m.countEntryVMs(at)
+	}
+	report(start, 9)
+	require.Equal(t, 9, m.entryVMs)
+	report(start.Add(time.Second), 2)
+	report(start.Add(20*time.Second), 2)
+	require.Equal(t, 9, m.entryVMs)
+	report(start.Add(21*time.Second), 10)
+	require.Equal(t, 10, m.entryVMs, "it rises at once")
+	report(start.Add(22*time.Second), 3)
+	report(start.Add(22*time.Second+countLower), 3)
+	require.Equal(t, 3, m.entryVMs)
+}
