Split the run of a request and the membership by their jobs

run.go keeps the steps of a request, outcome.go what the caller is told; membership's module.go keeps the events, sources.go the choice among control VMs, registry.go what leaves say. The assumed number of entry VMs stands in one place, and fields and methods that nothing used are removed. No behaviour changes; unit tests pass.

--- /dev/null
+++ b/internal/forward/outcome.go
@@ -0,0 +1,117 @@
+package forward
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// finish returns the response once there is one.
+func (r *Run) finish(now time.Time, open bool) *Response {
+	switch {
+	case r.answered == len(r.parts):
+		return r.answer("all parts are in")
+	case !open && r.enough() && r.route.Gathers():
+		return r.answer("the other parts have failed")
+	case !open || r.hopeless():
+		return r.failure()
+	case r.route.Gathers() && r.enough() && !now.Before(r.answerBy):
+		return r.answer("the objective is reached")
+	case !r.sent && !now.Before(r.refuseAt):
+		return r.refuse("no leaf has room")
+	case !now.Before(r.end):
+		if !r.mayHaveRun() {
+			return r.refuse("no leaf could run it in time")
+		}
+		return &Response{Kind: KindTimeout, Missing: len(r.parts) - r.answered, Reason: "the time is over"}
+	}
+	return nil
+}
+
+func (r *Run) answer(reason string) *Response {
+	if !r.route.Gathers() {
+		return &Response{Kind: KindLeaf, Reply: r.parts[0].reply, Reason: reason}
+	}
+	out := &Response{Kind: KindMerged, Missing: len(r.parts) - r.answered, Reason: reason}
+	bodies := make([][]byte, 0, r.answered)
+	for i := range r.parts {
+		if p := &r.parts[i]; p.reply != nil {
+			out.Signatures = append(out.Signatures, p.reply.Signature)
+			bodies = append(bodies, p.reply.Body)
+		}
+	}
+	out.Body = Merge(bodies, r.route.TopRecords)
+	return out
+}
+
+// mayHaveRun reports whether a leaf has run the request or still may.
+func (r *Run) mayHaveRun() bool {
+	if r.ran {
+		return true
+	}
+	for i := range r.parts {
+		if r.parts[i].pending() != nil {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Run) failure() *Response {
+	if !r.mayHaveRun() {
+		return r.refuse("no leaf ran it")
+	}
+	if p := &r.parts[0]; !r.route.Gathers() && p.failure != nil && p.failure.Reply != nil && !p.failure.Reply.NotRun {
+		return &Response{Kind: KindLeaf, Reply: p.failure.Reply, Reason: "the leaf failed"}
+	}
+	return &Response{Kind: KindFailed, Missing: len(r.parts) - r.answered, Reason: "no leaf gave a usable reply"}
+}
+
+// refusalPause is when a refused caller may come back: long enough for a leaf's queue to shorten.
+const refusalPause = 50 * time.Millisecond
+
+func (r *Run) refuse(reason string) *Response {
+	return &Response{Kind: KindRefused, RetryAfter: refusalPause, Missing: len(r.parts), Reason: reason}
+}
+
+// Describe lists the attempts at the parts without a reply: the service, and for each attempt its cause, the leaf with
+// its address and the sequence number of the heartbeat that listed it, the age of the attempt and how it ended.
+func (r *Run) Describe(now time.Time) string {
+	var b strings.Builder
+	for i := range r.parts {
+		p := &r.parts[i]
+		if p.reply != nil {
+			continue
+		}
+		if b.Len() > 0 {
+			b.WriteByte(' ')
+		}
+		fmt.Fprintf(&b, "%s[", p.service)
+		for n := range p.attempts {
+			a := &p.attempts[n]
+			fmt.Fprintf(&b, "%s %s@%s/%d %dms ago: %s; ", a.cause, a.leaf.ID, a.leaf.Address, a.leaf.Sequence, now.Sub(a.started).Milliseconds(), a.outcome())
+		}
+		switch {
+		case p.exhausted:
+			b.WriteString("repeat budget used up")
+		case len(p.attempts) == 0 && !r.env.Known(p.service, nil):
+			b.WriteString("no leaf is known")
+		case p.waiting:
+			b.WriteString("no leaf has room")
+		}
+		b.WriteByte(']')
+	}
+	return b.String()
+}
+
+func (a *attempt) outcome() string {
+	switch {
+	case !a.ended:
+		return "unanswered"
+	case a.err != nil:
+		return a.err.Error()
+	case !a.ran:
+		return "not run"
+	}
+	return fmt.Sprintf("status %d", a.status)
+}
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -60,8 +60,6 @@
 	Load      *Load
 	// IdleLimit is how long the leaf keeps an idle connection. It is 0 when the leaf does not say.
 	IdleLimit time.Duration
-	// Leaving says that the leaf closes the connection because it ends, or for another reason of its own.
-	Leaving bool
 }
 
 // Succeeded reports whether the reply is an answer of the leaf's service.
--- a/internal/kernel/interfaces.go
+++ b/internal/kernel/interfaces.go
@@ -302,8 +302,8 @@
 
 // LeafTransport carries attempts to leaves over warm connections.
 type LeafTransport interface {
-	// Send starts an attempt and calls done once, from another goroutine, with its end. Cancel ends the attempt early
-	// and closes its connection; done is still called.
+	// Send starts an attempt and calls done once with its end, from any goroutine and possibly before Send returns.
+	// Cancel ends the attempt early and closes its connection; done is still called.
 	Send(l *leaves.Member, req *forward.LeafRequest, done func(forward.AttemptEnd)) (cancel func())
 	// Room returns how many more attempts the connections to a leaf can take now.
 	Room(l *leaves.Member) int
--- a/internal/kernel/view.go
+++ b/internal/kernel/view.go
@@ -64,6 +64,18 @@
 	return v.Directory.Services[name]
 }
 
+// assumedEntryVMs stands for the number of entry VMs while it is unknown, so that a VM that has just started takes a small
+// part of what they share.
+const assumedEntryVMs = 16
+
+// SharingVMs returns the number of entry VMs among which connections and budgets are divided.
+func (v *View) SharingVMs() int {
+	if v.EntryVMs == 0 {
+		return assumedEntryVMs
+	}
+	return v.EntryVMs
+}
+
 // EachTarget calls fn for every target with a live lease.
 func (v *View) EachTarget(fn func(*model.Target)) {
 	if v.Directory == nil {
--- a/internal/modules/forwarder/module.go
+++ b/internal/modules/forwarder/module.go
@@ -25,9 +25,6 @@
 	// old they are then.
 	forgetInterval = 10 * time.Second
 	forgetAfter    = time.Minute
-	// assumedEntryVMs stands for the number of entry VMs while it is unknown, so that a VM that has just started takes
-	// a small share.
-	assumedEntryVMs = 16
 )
 
 func init() {
@@ -140,20 +137,13 @@
 		m.budgets[service] = b
 	}
 	l := m.limits
-	l.Slack /= float64(entryVMs(m.control.View()))
+	l.Slack /= float64(m.control.View().SharingVMs())
 	if m.now().Sub(m.started) < l.Window {
 		l.Slack = 0 // An earlier run of this VM may have used its part.
 	}
 	return b, l
 }
 
-func entryVMs(v *kernel.View) int {
-	if v.EntryVMs == 0 {
-		return assumedEntryVMs
-	}
-	return v.EntryVMs
-}
-
 // members returns the leaves of a service.
 func (m *Module) members(service model.ServiceName) []*leaves.Member {
 	if index := m.control.View().Leaves; index != nil {
--- a/internal/modules/leafpool/module.go
+++ b/internal/modules/leafpool/module.go
@@ -33,7 +33,6 @@
 		Settings: []settings.Key{
 			{Section: section, Name: "dial_timeout", Kind: settings.KindDuration, Default: "500ms", Min: 0.001, Max: 60, Help: "limit for opening a connection"},
 			{Section: section, Name: "probe_interval", Kind: settings.KindDuration, Default: "2s", Min: 1, Max: 600, Help: "time between probes of an idle connection; two unanswered ones end it"},
-			{Section: section, Name: "assumed_entry_vms", Kind: settings.KindInt, Default: "16", Min: 1, Max: 100000, Help: "entry VMs that share the connections to a leaf, while their number is unknown"},
 		},
 	})
 }
@@ -74,7 +73,6 @@
 	logger   log.Logger
 	now      func() time.Time
 	dialer   net.Dialer
-	assumed  int
 	metrics  metrics
 	run      context.Context
 	cancel   context.CancelFunc
@@ -105,7 +103,6 @@
 		Timeout:         s.Duration(section, "dial_timeout"),
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probe, Interval: probe, Count: probesLost},
 	}
-	m.assumed = s.Int(section, "assumed_entry_vms")
 	m.metrics = newMetrics(ctx.Scope("leaf_connections"))
 	m.pools = map[key]*pool{}
 	var err error
@@ -167,11 +164,7 @@
 			accepts = s.MaxConnections
 		}
 	}
-	vms := v.EntryVMs
-	if vms == 0 {
-		vms = m.assumed
-	}
-	return max(1, int(math.Round(usedShare*float64(accepts)/float64(vms))))
+	return max(1, int(math.Round(usedShare*float64(accepts)/float64(v.SharingVMs()))))
 }
 
 // Room implements kernel.LeafTransport.
--- /dev/null
+++ b/internal/modules/membership/registry.go
@@ -0,0 +1,48 @@
+package membership
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
+)
+
+// Heartbeat implements kernel.LeafRegistry.
+func (m *Module) Heartbeat(ctx context.Context, l leaves.Leaf) error {
+	return m.change(ctx, func(now time.Time) error {
+		old, known := m.table.Get(l.ID)
+		err := m.table.Hear(now, l)
+		if err != nil || !known || old.State != l.State || old.BornMS != l.BornMS {
+			_ = level.Info(m.logger).Log("msg", "heartbeat decided", "leaf", l.ID, "service", l.Service, "address", l.Address, "state", l.State, "born_ms", l.BornMS, "sequence", l.Sequence, "known_state", old.State, "known_sequence", old.Sequence, "err", err)
+		}
+		return err
+	})
+}
+
+// SignOff implements kernel.LeafRegistry.
+func (m *Module) SignOff(ctx context.Context, id string, bornMS int64) error {
+	return m.change(ctx, func(now time.Time) error {
+		m.table.End(now, id, bornMS)
+		l, _ := m.table.Get(id)
+		_ = level.Info(m.logger).Log("msg", "leaf signed off", "leaf", id, "born_ms", bornMS, "state", l.State)
+		return nil
+	})
+}
+
+// change runs fn on the control goroutine and tells those that watch if the table has changed.
+func (m *Module) change(ctx context.Context, fn func(now time.Time) error) error {
+	var failure error
+	err := m.control.Do(ctx, func(now time.Time) {
+		before := m.table.Position()
+		failure = fn(now)
+		if m.table.Position() != before {
+			m.announce()
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return failure
+}
