--- a/internal/modules/peer/module.go
+++ b/internal/modules/peer/module.go
@@ -48,6 +48,7 @@
 			{Section: section, Name: "listen", Kind: settings.KindAddress, Help: "address for connections of other VMs, such as 10.0.0.1:7400; required with peers"},
 			{Section: section, Name: "keepalive_interval", Kind: settings.KindDuration, Default: "1s", Min: 0.01, Max: 60, Help: "time between two probes of a connection"},
 			{Section: section, Name: "keepalive_timeout", Kind: settings.KindDuration, Default: "2s", Min: 0.01, Max: 60, Help: "time without an answer after which a connection is given up"},
+			{Section: section, Name: "dial_timeout", Kind: settings.KindDuration, Default: "3s", Min: 0.01, Max: 60, Help: "limit for opening a connection; a VM without power drops the first packet, which is sent again only after 1s"},
 			{Section: section, Name: "reconnect_min", Kind: settings.KindDuration, Default: "100ms", Min: 0.001, Max: 60, Help: "first wait before a new attempt to connect"},
 			{Section: section, Name: "reconnect_max", Kind: settings.KindDuration, Default: "3s", Min: 0.001, Max: 600, Help: "longest wait before a new attempt to connect"},
 			{Section: section, Name: "send_queue", Kind: settings.KindInt, Default: "1024", Min: 1, Max: 1 << 20, Help: "messages that may wait for each peer"},
@@ -62,6 +63,7 @@
 	listen             string
 	keepaliveInterval  time.Duration
 	keepaliveTimeout   time.Duration
+	dialTimeout        time.Duration
 	reconnectMin       time.Duration
 	reconnectMax       time.Duration
 	sendQueue          int
@@ -102,6 +104,7 @@
 		listen:             s.String(section, "listen"),
 		keepaliveInterval:  s.Duration(section, "keepalive_interval"),
 		keepaliveTimeout:   s.Duration(section, "keepalive_timeout"),
+		dialTimeout:        s.Duration(section, "dial_timeout"),
 		reconnectMin:       s.Duration(section, "reconnect_min"),
 		reconnectMax:       s.Duration(section, "reconnect_max"),
 		sendQueue:          s.Int(section, "send_queue"),
--- a/internal/modules/peer/outgoing.go
+++ b/internal/modules/peer/outgoing.go
@@ -80,7 +80,7 @@
 func (p *peer) connect() (*link, error) {
 	ctx, cancel := context.WithTimeout(p.module.run, p.module.opts.helloTimeout)
 	defer cancel()
-	var d net.Dialer
+	d := net.Dialer{Timeout: p.module.opts.dialTimeout}
 	conn, err := d.DialContext(ctx, "tcp", p.config.Addr)
 	if err != nil {
 		return nil, err
