Keep the leaves of control VMs on their disks

Cause: after all machines had lost power, entry VMs knew routes 0.3 s after their start, but leaves only as these announced themselves to the restarted control VMs, within 1.2 s; most requests of that time were refused or partial. Change: a control VM writes its leaves to its data folder at most once a second, with a checksum, and recalls them at the start as a hint; leaves that are gone lapse, and heartbeats go before what was recalled.

--- /dev/null
+++ b/internal/modules/membership/cache.go
@@ -0,0 +1,101 @@
+package membership
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"io/fs"
+	"path/filepath"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chestnuttiller/chestnuttiller/internal/errs"
+	"github.com/chestnuttiller/chestnuttiller/internal/fsys"
+	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
+	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
+	"github.com/chestnuttiller/chestnuttiller/internal/modules/membership/membershippb"
+)
+
+const (
+	// cacheName is the file in the data folder that holds the leaves.
+	cacheName = "leaves"
+	// cacheInterval bounds how often it is written. Leaves that are missing in it announce themselves within a few
+	// seconds.
+	cacheInterval = time.Second
+	// checksumBytes is the size of the checksum before the leaves.
+	checksumBytes = 8
+)
+
+// cache keeps the leaves of a control VM on its disk, so that entry VMs learn of them at once when all VMs have been
+// restarted. It is a hint: leaves that are gone lapse, and a damaged file is left aside.
+type cache struct {
+	files  fsys.FS
+	path   string
+	logger log.Logger
+	// next holds the leaves to be written next.
+	next chan []leaves.Leaf
+}
+
+func newCache(files fsys.FS, folder string, logger log.Logger) *cache {
+	return &cache{files: files, path: filepath.Join(folder, cacheName), logger: logger, next: make(chan []leaves.Leaf, 1)}
+}
+
+// offer hands leaves to the writing goroutine, and reports false while it is busy.
+func (c *cache) offer(list []leaves.Leaf) bool {
+	select {
+	case c.next <- list:
+		return true
+	default:
+		return false
+	}
+}
+
+// run writes what is offered until the context ends.
+func (c *cache) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case list := <-c.next:
+			if err := c.save(list); err != nil {
+				_ = level.Warn(c.logger).Log("msg", "leaves not kept on disk; after a restart they are known once they announce themselves", "err", err)
+			}
+		}
+		if kernel.Wait(ctx, cacheInterval) != nil {
+			return
+		}
+	}
+}
+
+func (c *cache) save(list []leaves.Leaf) error {
+	x := &membershippb.WatchReply{}
+	for i := range list {
+		x.Leaves = append(x.Leaves, encodeLeaf(&list[i]))
+	}
+	body, err := proto.Marshal(x)
+	if err != nil {
+		return err
+	}
+	data := binary.BigEndian.AppendUint64(make([]byte, 0, checksumBytes+len(body)), xxhash.Sum64(body))
+	return fsys.WriteDurably(c.files, c.path, append(data, body...))
+}
+
+// load returns the leaves on the disk. None is no error.
+func (c *cache) load() ([]leaves.Leaf, error) {
+	data, err := fsys.ReadAll(c.files, c.path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	if len(data) < checksumBytes || binary.BigEndian.Uint64(data) != xxhash.Sum64(data[checksumBytes:]) {
+		return nil, errs.New(errs.KindCorrupt, "none is needed; the file is written again", "%s is damaged", c.path)
+	}
+	n, err := decodeNews(data[checksumBytes:])
+	return n.leaves, err
+}
--- a/internal/modules/membership/module.go
+++ b/internal/modules/membership/module.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/chestnuttiller/chestnuttiller/internal/fsys"
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
@@ -126,6 +127,9 @@
 	fewerSince time.Time
 	// started is when the process started.
 	started time.Time
+	// cache is nil on VMs without a data folder. cached is the position of the table that was handed to it last.
+	cache  *cache
+	cached uint64
 	// changed is closed when there is something new for those that watch.
 	changed chan struct{}
 	ready   bool
@@ -168,6 +172,7 @@
 			return err
 		}
 		m.peers.Handle(kindWatch, m.answer)
+		m.cache = newCache(fsys.OS{}, s.DataFolder, m.logger)
 	}
 	m.peers.OnChange(func(kernel.PeerStatus) { _ = m.control.PostWait(m.run, peersEvent{}) })
 	return nil
@@ -175,7 +180,16 @@
 
 // Start implements kernel.Starter.
 func (m *Module) Start(ctx context.Context) error {
-	return m.control.Do(ctx, func(time.Time) {
+	var known []leaves.Leaf
+	if m.cache != nil {
+		var err error
+		if known, err = m.cache.load(); err != nil {
+			_ = level.Warn(m.logger).Log("msg", "leaves on disk are not used", "err", err)
+		}
+		go m.cache.run(m.run)
+	}
+	return m.control.Do(ctx, func(now time.Time) {
+		m.recall(now, known)
 		m.followAll()
 		m.control.After(scanInterval, scanEvent{})
 	})
@@ -251,6 +265,18 @@
 	}
 }
 
+// recall takes over the leaves that were known before a restart. They count as heard from here, and lapse unless they are
+// heard from again somewhere.
+func (m *Module) recall(now time.Time, known []leaves.Leaf) {
+	for _, l := range known {
+		l.Origin = m.self
+		m.table.Merge(now, m.self, l)
+	}
+	if len(known) > 0 {
+		_ = level.Info(m.logger).Log("msg", "leaves recalled from disk", "leaves", len(known))
+	}
+}
+
 // announce answers all watches that wait.
 func (m *Module) announce() {
 	close(m.changed)
@@ -317,6 +343,11 @@
 			_ = level.Info(m.logger).Log("msg", "entry VM does not watch any more", "entry_vm", vm, "entry_vms", len(m.entrySeen))
 		}
 	}
+	if p := m.table.Position(); p != m.cached {
+		if list, _ := m.table.Since(0); m.cache.offer(list) {
+			m.cached = p
+		}
+	}
 	counts := m.table.Counts()
 	m.gauges.ready.Update(float64(counts[leaves.Ready]))
 	m.gauges.draining.Update(float64(counts[leaves.Draining]))
--- a/internal/modules/membership/module_test.go
+++ b/internal/modules/membership/module_test.go
@@ -9,6 +9,8 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/chestnuttiller/chestnuttiller/internal/errs"
+	"github.com/chestnuttiller/chestnuttiller/internal/fsys/fsystest"
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
@@ -125,3 +127,25 @@
 	report(start.Add(22*time.Second+countLower), 3)
 	require.Equal(t, 3, m.entryVMs)
 }
+
+// Guards against leaves that are forgotten when all control VMs restart, and against a damaged file that stops one.
+func TestLeavesAreRecalled(t *testing.T) {
+	files := fsystest.NewMemory()
+	c := newCache(files, "data", log.NewNopLogger())
+	list, err := c.load()
+	require.NoError(t, err)
+	require.Empty(t, list)
+	want := []leaves.Leaf{{ID: "i", Service: "s", Address: "h:1", State: leaves.Ready, BornMS: 4, Sequence: 9}, {ID: "j", State: leaves.Gone, BornMS: 3}}
+	require.NoError(t, c.save(want))
+	list, err = newCache(files, "data", log.NewNopLogger()).load()
+	require.NoError(t, err)
+	require.Equal(t, want, list)
+	m := newModule()
+	m.recall(start, list)
+	l, _ := m.table.Get("i")
+	require.Equal(t, leaves.Ready, l.State)
+	require.Equal(t, errs.KindConflict, errs.KindOf(m.table.Hear(start, leaves.Leaf{ID: "j", Address: "h:2", BornMS: 3, Sequence: 7, State: leaves.Ready})))
+	files.Corrupt("data/leaves", 12)
+	_, err = c.load()
+	require.Equal(t, errs.KindCorrupt, errs.KindOf(err))
+}
