Hand stand-in targets a listener that stays open

The scenarios took a free port by opening and closing a listener, and the stand-in opened it again. A process that is forked in between holds a copy of the listener until it executes its program, and three scenarios start processes at once.

Ruled out: other users of the address.

Change: the scenario passes its open listener to the stand-in. freePort is removed.

Conclusion: the failure is of the test's own port reservation, not of the program.

--- a/integration/condition_test.go
+++ b/integration/condition_test.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"os/exec"
 	"strconv"
 	"strings"
@@ -306,12 +305,3 @@
 	}
 	return nil
 }
-
-func freePort(ip string) (int, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return 0, err
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
-}
--- a/integration/target_test.go
+++ b/integration/target_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -88,18 +89,23 @@
 	if old := s.targets[name]; old != nil {
 		old.Close()
 	}
-	port, err := freePort(ip)
+	listener, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return err
 	}
-	listen := fmt.Sprintf("%s:%d", ip, port)
-	advertise, err := s.mesh.gate(name, listen)
+	started := false
+	defer func() {
+		if !started {
+			_ = listener.Close()
+		}
+	}()
+	advertise, err := s.mesh.gate(name, listener.Addr().String())
 	if err != nil {
 		return err
 	}
 	s.mesh.name(ip, name)
 	s.targetZones[name] = zone
-	cfg := standin.Config{Service: model.ServiceName(service), ID: model.TargetID(id), AvailabilityZone: model.AvailabilityZone(zone), Listen: listen, Advertise: advertise, Seed: uint64(s.number)}
+	cfg := standin.Config{Service: model.ServiceName(service), ID: model.TargetID(id), AvailabilityZone: model.AvailabilityZone(zone), Listener: listener, Advertise: advertise, Seed: uint64(s.number)}
 	if cfg.AnnounceURLs, err = s.announceURLs(name, zone); err != nil {
 		return err
 	}
@@ -121,6 +127,7 @@
 	if err != nil {
 		return err
 	}
+	started = true
 	s.targets[name] = t
 	if len(cfg.LayoutShards) == 0 {
 		cfg.LayoutShards = standin.EvenShards(1)
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -26,6 +27,9 @@
 	// in front of the target.
 	Listen    string
 	Advertise string
+	// Listener replaces Listen when the caller has opened the listener already. Closing and opening it again can fail:
+	// a process that is forked in between holds the port until it executes its program.
+	Listener net.Listener
 	// Control is the address of the control endpoint. Without one there is no such endpoint.
 	Control string
 	// AnnounceURLs are the first announcement URLs. Replies may name others.
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os/exec"
 	"strings"
 	"sync"
 	"testing"
@@ -227,3 +229,37 @@
 		require.Error(t, err, bad)
 	}
 }
+
+// Guards against targets that cannot listen while processes are started: a process that is forked while a listener is
+// open holds its port until it executes its program, so that closing the listener and opening it again fails at times.
+func TestTargetsStartBesideProcesses(t *testing.T) {
+	stop := make(chan struct{})
+	var starters sync.WaitGroup
+	for range 3 {
+		starters.Add(1)
+		go func() {
+			defer starters.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					if err := exec.Command("true").Run(); err != nil {
+						t.Error(err)
+						return
+					}
+				}
+			}
+		}()
+	}
+	defer starters.Wait()
+	defer close(stop)
+	for range 500 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		target, err := Start(Config{Service: "billing", ID: "b1", AvailabilityZone: "a", Listener: l})
+		require.NoError(t, err)
+		require.Equal(t, l.Addr().String(), target.Addr())
+		target.Close()
+	}
+}
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -94,9 +94,12 @@
 
 // listen opens the listeners of sub-requests and control.
 func (t *Target) listen() error {
-	l, err := net.Listen("tcp", t.cfg.Listen)
-	if err != nil {
-		return errs.Wrap(err, errs.KindInvalid, "name a free address", "stand-in target %s cannot listen", t.cfg.ID)
+	l := t.cfg.Listener
+	if l == nil {
+		var err error
+		if l, err = net.Listen("tcp", t.cfg.Listen); err != nil {
+			return errs.Wrap(err, errs.KindInvalid, "name a free address", "stand-in target %s cannot listen", t.cfg.ID)
+		}
 	}
 	t.addr = l.Addr().String()
 	// Announcements come from the target's own address, so that a proxy can tell who sends them.
