--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -51,15 +51,6 @@
 	latencyMinSamples = 20
 )
 
-// leafKey names one incarnation of a leaf at one address.
-type leafKey struct {
-	id      string
-	bornMS  int64
-	address string
-}
-
-func keyOf(m *leaves.Member) leafKey { return leafKey{m.ID, m.BornMS, m.Address} }
-
 type leafStats struct {
 	// pace is the latency relative to what is usual for the route. It is 0 before the first answer.
 	pace     float64
@@ -90,17 +81,17 @@
 type Tracker struct {
 	options TrackerOptions
 	random  *rand.Rand
-	leaves  map[leafKey]*leafStats
+	leaves  map[leaves.Key]*leafStats
 	routes  map[string]*latencies
 }
 
 // NewTracker returns a tracker without observations.
 func NewTracker(o TrackerOptions, random *rand.Rand) *Tracker {
-	return &Tracker{options: o, random: random, leaves: map[leafKey]*leafStats{}, routes: map[string]*latencies{}}
+	return &Tracker{options: o, random: random, leaves: map[leaves.Key]*leafStats{}, routes: map[string]*latencies{}}
 }
 
 func (t *Tracker) stats(m *leaves.Member) *leafStats {
-	k := keyOf(m)
+	k := m.Key()
 	s := t.leaves[k]
 	if s == nil {
 		s = &leafStats{}
--- a/internal/leaves/index.go
+++ b/internal/leaves/index.go
@@ -30,6 +30,16 @@
 	WarmAt time.Time
 }
 
+// Key names one incarnation of a leaf at one address.
+type Key struct {
+	ID      string
+	BornMS  int64
+	Address string
+}
+
+// Key returns the key of the incarnation.
+func (m *Member) Key() Key { return Key{m.ID, m.BornMS, m.Address} }
+
 // Index is the immutable set of leaves that requests may be sent to, by service and in the order of their IDs.
 type Index struct {
 	Services map[model.ServiceName][]*Member
--- a/internal/modules/leafpool/module.go
+++ b/internal/modules/leafpool/module.go
@@ -56,15 +56,6 @@
 	inlineBytes = 16 << 10
 )
 
-// key names the connections of one incarnation of a leaf.
-type key struct {
-	id      string
-	bornMS  int64
-	address string
-}
-
-func keyOf(l *leaves.Member) key { return key{l.ID, l.BornMS, l.Address} }
-
 // Module keeps the connections.
 type Module struct {
 	control  *kernel.Control
@@ -78,7 +69,7 @@
 	cancel   context.CancelFunc
 
 	mu    sync.Mutex
-	pools map[key]*pool
+	pools map[leaves.Key]*pool
 }
 
 type metrics struct {
@@ -104,7 +95,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probe, Interval: probe, Count: probesLost},
 	}
 	m.metrics = newMetrics(ctx.Scope("leaf_connections"))
-	m.pools = map[key]*pool{}
+	m.pools = map[leaves.Key]*pool{}
 	var err error
 	m.protocol, err = kernel.Lookup[kernel.LeafProtocol](ctx)
 	return err
@@ -131,10 +122,10 @@
 	if v.Leaves == nil {
 		return
 	}
-	listed := map[key]bool{}
+	listed := map[leaves.Key]bool{}
 	for _, list := range v.Leaves.Services {
 		for _, l := range list {
-			listed[keyOf(l)] = true
+			listed[l.Key()] = true
 		}
 	}
 	m.mu.Lock()
@@ -172,7 +163,7 @@
 	limit := m.limit(l)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	p := m.pools[keyOf(l)]
+	p := m.pools[l.Key()]
 	if p == nil {
 		return limit
 	}
@@ -184,10 +175,10 @@
 	x := &exchange{module: m, req: req, began: m.now(), done: done}
 	limit := m.limit(l)
 	m.mu.Lock()
-	p := m.pools[keyOf(l)]
+	p := m.pools[l.Key()]
 	if p == nil {
 		p = &pool{module: m, leaf: l}
-		m.pools[keyOf(l)] = p
+		m.pools[l.Key()] = p
 	}
 	c := p.take(m.now())
 	full := c == nil && p.open >= limit
