Learn from leaves that shed or fall silent, and forget old trouble

Cause: on grown deployments an entry VM asks a leaf every 2 to 3 s. A leaf that shed a request was avoided for 30 ms only, and an attempt that was cancelled without an answer left no trace, so the next request met the same leaf. What was observed did not age, and leaves that are avoided are not observed, so that a leaf stayed avoided after its trouble. A route with fewer than 20 answers in 10 s fell back to a default of 25 ms as its usual latency, and paces measured against both were compared: one of two equal leaves got 58 of 60 requests.

Change: sheds and silence of 250 ms count as failures, silence ejects; observations fade with a half-life of 5 s; a half of the latency window lasts until it holds 20 answers.

--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -12,12 +13,15 @@
 )
 
 const (
-	// paceWeight is the least weight of a new observation in the moving averages of a leaf, which follow about the last
-	// ten. Where observations are rare, the weight grows with the time since the last one, up to paceWeightMax, so that
-	// the averages follow a leaf that turns slow within about paceSpan.
-	paceWeight    = 0.1
-	paceWeightMax = 0.4
-	paceSpan      = 2 * time.Second
+	// leastWeight is the least weight of a new observation in the moving averages of a leaf, which follow about the last
+	// ten. Where observations are rare, the weight grows with the time since the last one, up to mostWeight, so that
+	// the averages follow a leaf that turns slow or fails within about weightSpan.
+	leastWeight = 0.1
+	mostWeight  = 0.4
+	weightSpan  = 2 * time.Second
+	// halfLife is the time in which half of what sets a leaf apart is forgotten while nothing is observed of it. Leaves
+	// that are avoided are not observed, and most troubles of a leaf last 5 to 10 s.
+	halfLife = 5 * time.Second
 	// paceMax bounds an observation, so that one pause of a leaf does not count for more than a leaf that stays slow.
 	paceMax = 10
 	// loadMaxAge is how long a load report counts. Leaves answer several times within it under usual traffic.
@@ -35,6 +39,9 @@
 	spread = 0.1
 	// ejectAfter is the number of failures in a row that ejects a leaf. An unopened connection ejects at once.
 	ejectAfter = 3
+	// silenceMin is the least age of an unanswered attempt that shows its leaf to be silent. Pauses of sound leaves end
+	// before it.
+	silenceMin = 250 * time.Millisecond
 	// ejectMin and ejectMax bound the time for which a leaf is ejected, which doubles each time.
 	ejectMin = 300 * time.Millisecond
 	ejectMax = 5 * time.Second
@@ -43,23 +50,29 @@
 	// hedgeLimit is the part of the objective that an attempt may take before it is hedged: a second attempt needs
 	// about as much time as the first.
 	hedgeLimit = 0.4
-	// latencyWindow is how long latencies count towards quantiles, in two halves.
+	// latencyWindow is how long latencies count towards quantiles, in two halves. A half lasts longer on a route with few
+	// requests, until it holds latencyMinSamples.
 	latencyWindow = 10 * time.Second
 	// latencyMax bounds the latencies that are told apart.
 	latencyMax = time.Minute
-	// latencyMinSamples is the number of latencies from which on a quantile is used.
+	// latencyMinSamples is the number of latencies from which on a high quantile is used, and medianMinSamples the number
+	// for the median.
 	latencyMinSamples = 20
+	medianMinSamples  = 5
 )
 
 type leafStats struct {
-	// pace is the latency relative to what is usual for the route. It is 0 before the first answer.
-	pace     float64
-	paceAt   time.Time
-	failures float64
-	inRow    int
-	started  []time.Time
-	load     Load
-	loadAt   time.Time
+	// pace is the latency relative to what is usual for the route. It is 0 before the first answer. paceAt is when it was
+	// observed last.
+	pace   float64
+	paceAt time.Time
+	// failures is the share of attempts that failed, were shed or got no answer, observed last at failuresAt.
+	failures   float64
+	failuresAt time.Time
+	inRow      int
+	started    []time.Time
+	load       Load
+	loadAt     time.Time
 	// shedUntil and ejectedUntil keep requests away for a while. ejections counts those without a success since.
 	shedUntil, ejectedUntil time.Time
 	ejections               int
@@ -129,9 +142,9 @@
 
 // cost is the expected latency, in units of the usual latency of the route.
 func (t *Tracker) cost(now time.Time, m *leaves.Member, s *leafStats, usual time.Duration) float64 {
-	pace := s.pace
-	if pace == 0 {
-		pace = 1
+	pace := 1.0
+	if s.pace != 0 {
+		pace += (s.pace - 1) * remembered(now, s.paceAt)
 	}
 	slots := max(m.Slots, 1)
 	busy := float64(len(s.started))
@@ -157,10 +170,20 @@
 	if now.Before(m.WarmAt) {
 		cost *= warmPenalty
 	}
-	cost *= 1 + failurePenalty*s.failures
+	cost *= 1 + failurePenalty*s.failures*remembered(now, s.failuresAt)
 	return cost * (1 + spread*t.random.Float64())
 }
 
+// remembered returns the part of an observation that still counts.
+func remembered(now, observed time.Time) float64 {
+	return math.Exp2(-float64(now.Sub(observed)) / float64(halfLife))
+}
+
+// weight returns the weight of a new observation after the last one.
+func weight(now, last time.Time) float64 {
+	return min(max(float64(now.Sub(last))/float64(weightSpan), leastWeight), mostWeight)
+}
+
 // Begin notes the start of an attempt.
 func (t *Tracker) Begin(now time.Time, m *leaves.Member) {
 	s := t.stats(m)
@@ -168,7 +191,8 @@
 	s.used = now
 }
 
-// Done notes the end of an attempt that began at a time. Cancelled attempts say nothing of the leaf.
+// Done notes the end of an attempt that began at a time. A cancelled attempt says nothing of the leaf, unless the leaf was
+// silent for long.
 func (t *Tracker) Done(now time.Time, route string, m *leaves.Member, began time.Time, end *AttemptEnd, cancelled bool) {
 	s := t.stats(m)
 	if i := slices.Index(s.started, began); i >= 0 {
@@ -178,25 +202,35 @@
 	if r != nil && r.Load != nil {
 		s.load, s.loadAt = *r.Load, now
 	}
+	silent := r == nil && end.Sent && end.Latency >= max(silenceMin, stallFactor*t.usual(route))
 	switch {
-	case cancelled && r == nil:
+	case cancelled && r == nil && !silent:
 	case r != nil && r.WrongLeaf:
 		t.eject(now, s, ejectMax)
 	case r != nil && r.NotRun:
 		s.shedUntil = now.Add(shedPause)
+		s.observeFailure(now, 1)
 	case r != nil && r.Succeeded():
 		s.inRow, s.ejections = 0, 0
-		s.failures *= 1 - paceWeight
+		s.observeFailure(now, 0)
 		t.observe(now, route, s, end.Latency)
 	default:
 		s.inRow++
-		s.failures += paceWeight * (1 - s.failures)
-		if end.Refused || s.inRow >= ejectAfter {
+		s.observeFailure(now, 1)
+		if end.Refused || silent || s.inRow >= ejectAfter {
 			t.eject(now, s, min(ejectMin<<min(s.ejections, 10), ejectMax))
 		}
 	}
 }
 
+// observeFailure takes a failure as 1 and a success as 0.
+func (s *leafStats) observeFailure(now time.Time, failed float64) {
+	w := weight(now, s.failuresAt)
+	s.failures *= remembered(now, s.failuresAt)
+	s.failures += w * (failed - s.failures)
+	s.failuresAt = now
+}
+
 func (t *Tracker) eject(now time.Time, s *leafStats, d time.Duration) {
 	s.ejections++
 	s.inRow = 0
@@ -210,7 +244,7 @@
 		l = &latencies{current: newHistogram(), previous: newHistogram(), since: now}
 		t.routes[route] = l
 	}
-	if now.Sub(l.since) > latencyWindow/2 {
+	if now.Sub(l.since) > latencyWindow/2 && l.current.TotalCount() >= latencyMinSamples {
 		l.current, l.previous = l.previous, l.current
 		l.current.Reset()
 		l.since = now
@@ -221,11 +255,12 @@
 	}
 	pace := float64(latency) / float64(usual)
 	if s.pace == 0 {
-		s.pace = pace
+		s.pace, s.paceAt = pace, now
 	}
-	weight := min(max(float64(now.Sub(s.paceAt))/float64(paceSpan), paceWeight), paceWeightMax)
+	w := weight(now, s.paceAt)
+	s.pace = 1 + (s.pace-1)*remembered(now, s.paceAt)
+	s.pace += w * (min(pace, paceMax) - s.pace)
 	s.paceAt = now
-	s.pace += weight * (min(pace, paceMax) - s.pace)
 }
 
 func newHistogram() *hdrhistogram.Histogram {
@@ -236,20 +271,24 @@
 const defaultLatency = 25 * time.Millisecond
 
 func (t *Tracker) usual(route string) time.Duration {
-	if d, ok := t.quantile(route, 50); ok {
+	if d, ok := t.quantile(route, 50, medianMinSamples); ok {
 		return d
 	}
 	return defaultLatency
 }
 
-func (t *Tracker) quantile(route string, percent float64) (time.Duration, bool) {
+// quantile returns a quantile of the half window with more latencies, if it holds a least number.
+func (t *Tracker) quantile(route string, percent float64, least int64) (time.Duration, bool) {
 	l := t.routes[route]
-	if l == nil || l.current.TotalCount()+l.previous.TotalCount() < latencyMinSamples {
+	if l == nil {
 		return 0, false
 	}
-	a, b := l.current, l.previous
-	if a.TotalCount() < latencyMinSamples || b.TotalCount() > a.TotalCount() {
-		a = b
+	a := l.current
+	if l.previous.TotalCount() > a.TotalCount() {
+		a = l.previous
+	}
+	if a.TotalCount() < least {
+		return 0, false
 	}
 	return max(time.Duration(a.ValueAtQuantile(percent))*time.Microsecond, time.Millisecond), true
 }
@@ -258,7 +297,7 @@
 // quantile before it is known, and bounds it, because a later hedge would answer too late.
 func (t *Tracker) HedgeAfter(route string, objective time.Duration) time.Duration {
 	limit := time.Duration(hedgeLimit * float64(objective))
-	if d, ok := t.quantile(route, 100*t.options.HedgeQuantile); ok {
+	if d, ok := t.quantile(route, 100*t.options.HedgeQuantile, latencyMinSamples); ok {
 		return min(d, limit)
 	}
 	return limit
