Read the settings file again when it changes without a signal

Cause: a changed settings file was read at SIGHUP or at the next start only. A platform may change it without a signal.

Ruled out: inotify, which is not available on the users' VMs; the time of the last change, which can stay the same.

The line names the cause.

--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -36,7 +36,7 @@
 }
 
 // runKernel runs a process until a signal or a failure ends it. SIGTERM and SIGINT drain it; a second signal
-// changes nothing, since the limit for the whole shutdown is a setting. SIGHUP reads the settings file again.
+// changes nothing, since the limit for the whole shutdown is a setting. SIGHUP, and a change of the settings file, read it again.
 func runKernel(ctx context.Context, s *settings.Settings, path string) error {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -53,11 +53,16 @@
 		return errors.CombineErrors(err, k.Stop(ctx))
 	}
 	_ = level.Info(logger).Log("msg", "process started", "availability_zone", s.AvailabilityZone)
+	watch, stopWatch := context.WithCancel(ctx)
+	defer stopWatch()
+	changed := watchFile(watch, path, settingsInterval, logger)
 	var failure error
 	for running := true; running; {
 		select {
 		case <-hangup.Signals:
-			reload(k, path, logger)
+			reload(k, path, "SIGHUP", logger)
+		case <-changed:
+			reload(k, path, "the file has changed", logger)
 		case sig := <-signals:
 			running = false
 			_ = level.Info(logger).Log("msg", "process is draining", "signal", sig, "limit", s.DrainLimit)
@@ -76,14 +81,14 @@
 }
 
 // reload hands the settings file to the modules again. A file that cannot be read changes nothing.
-func reload(k *kernel.Kernel, path string, logger log.Logger) {
+func reload(k *kernel.Kernel, path, cause string, logger log.Logger) {
 	s, err := settings.Load(path, kernel.SettingsKeys())
 	if err == nil {
 		err = k.Reload(s)
 	}
 	if err != nil {
-		_ = level.Error(logger).Log("msg", "settings not reloaded; the process goes on with those that it has", "file", path, "err", err)
+		_ = level.Error(logger).Log("msg", "settings not reloaded; the process goes on with those that it has", "file", path, "cause", cause, "err", err)
 		return
 	}
-	_ = level.Info(logger).Log("msg", "settings reloaded; new seeds are taken over, everything else needs a restart", "file", path)
+	_ = level.Info(logger).Log("msg", "settings reloaded; new seeds are taken over, everything else needs a restart", "file", path, "cause", cause)
 }
