Keep connections to preferred leaves open in advance, and log ejections

Cause: connections to leaves were opened by the first request that needed one. A reset after a request was sent may have run it. That a leaf was ejected changed what the VM believes and was not logged.

Change: each VM prefers two or more leaves of a service, its own zone first and then by a hash, where a connection to each leaf is too many; others cost twice. A goroutine keeps a connection to each preferred leaf, 25 a second at most. Failures weigh 15 instead of 6 in the choice of a leaf, so that an own leaf that sheds is left for a far one.

--- a/internal/forward/run_test.go
+++ b/internal/forward/run_test.go
@@ -274,7 +274,7 @@
 
 // Guards against requests that keep going to a stalled, failing or ejected leaf while others are free.
 func TestTrackerAvoidsTroubledLeaves(t *testing.T) {
-	room := func(*leaves.Member) int { return 1 }
+	room := openLeaves{}
 	list := members(3)
 	x := NewTracker(TrackerOptions{Zone: "z", HedgeQuantile: 0.9}, testRandom())
 	for i := range 60 {
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -31,10 +31,13 @@
 	stallFactor = 2
 	// farPenalty prices an answer from another availability zone, which costs bytes between zones besides its delay.
 	farPenalty = 2
+	// otherPenalty keeps requests away from leaves that are not preferred, unless the preferred ones are in trouble: their
+	// connections belong to other VMs.
+	otherPenalty = 2
 	// warmPenalty is how much slower a leaf is expected to be until it is warm.
 	warmPenalty = 1.6
 	// failurePenalty scales the expected latency of a leaf by its share of failures.
-	failurePenalty = 6
+	failurePenalty = 15
 	// spread randomizes the choice between leaves of nearly the same expectation, so that VMs do not all choose one.
 	spread = 0.1
 	// ejectAfter is the number of failures in a row that ejects a leaf. An unopened connection ejects at once.
@@ -113,14 +116,22 @@
 	return s
 }
 
+// Connections tells of the connections of this VM to leaves.
+type Connections interface {
+	// Room returns how many more attempts a leaf can take now.
+	Room(*leaves.Member) int
+	// Prefers reports whether this VM keeps connections to the leaf.
+	Prefers(*leaves.Member) bool
+}
+
 // Choose returns the leaf that is expected to answer first among those that were not tried and have room, or nil.
 // Ejected leaves are chosen only when there is no other, or for a single trial once their time is over.
-func (t *Tracker) Choose(now time.Time, route string, list, tried []*leaves.Member, room func(*leaves.Member) int) *leaves.Member {
+func (t *Tracker) Choose(now time.Time, route string, list, tried []*leaves.Member, connections Connections) *leaves.Member {
 	var best, ejected *leaves.Member
 	var bestCost float64
 	usual := t.usual(route)
 	for _, m := range list {
-		if slices.ContainsFunc(tried, func(x *leaves.Member) bool { return x.ID == m.ID }) || room(m) <= 0 {
+		if slices.ContainsFunc(tried, func(x *leaves.Member) bool { return x.ID == m.ID }) || connections.Room(m) <= 0 {
 			continue
 		}
 		s := t.stats(m)
@@ -130,7 +141,11 @@
 			}
 			continue
 		}
-		if cost := t.cost(now, m, s, usual); best == nil || cost < bestCost {
+		cost := t.cost(now, m, s, usual)
+		if !connections.Prefers(m) {
+			cost *= otherPenalty
+		}
+		if best == nil || cost < bestCost {
 			best, bestCost = m, cost
 		}
 	}
@@ -192,8 +207,8 @@
 }
 
 // Done notes the end of an attempt that began at a time. A cancelled attempt says nothing of the leaf, unless the leaf was
-// silent for long.
-func (t *Tracker) Done(now time.Time, route string, m *leaves.Member, began time.Time, end *AttemptEnd, cancelled bool) {
+// silent for long. Done returns for how long the leaf is ejected because of this end, or 0.
+func (t *Tracker) Done(now time.Time, route string, m *leaves.Member, began time.Time, end *AttemptEnd, cancelled bool) (ejected time.Duration) {
 	s := t.stats(m)
 	if i := slices.Index(s.started, began); i >= 0 {
 		s.started = slices.Delete(s.started, i, i+1)
@@ -206,7 +221,7 @@
 	switch {
 	case cancelled && r == nil && !silent:
 	case r != nil && r.WrongLeaf:
-		t.eject(now, s, ejectMax)
+		return s.eject(now, ejectMax)
 	case r != nil && r.NotRun:
 		s.shedUntil = now.Add(shedPause)
 		s.observeFailure(now, 1)
@@ -218,9 +233,10 @@
 		s.inRow++
 		s.observeFailure(now, 1)
 		if end.Refused || silent || s.inRow >= ejectAfter {
-			t.eject(now, s, min(ejectMin<<min(s.ejections, 10), ejectMax))
+			return s.eject(now, min(ejectMin<<min(s.ejections, 10), ejectMax))
 		}
 	}
+	return 0
 }
 
 // observeFailure takes a failure as 1 and a success as 0.
@@ -231,10 +247,11 @@
 	s.failuresAt = now
 }
 
-func (t *Tracker) eject(now time.Time, s *leafStats, d time.Duration) {
+func (s *leafStats) eject(now time.Time, d time.Duration) time.Duration {
 	s.ejections++
 	s.inRow = 0
 	s.ejectedUntil = now.Add(d)
+	return d
 }
 
 func (t *Tracker) observe(now time.Time, route string, s *leafStats, latency time.Duration) {
--- a/internal/forward/tracker_test.go
+++ b/internal/forward/tracker_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -9,12 +10,21 @@
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
 )
 
+// openLeaves have room, and all are preferred but those that are listed.
+type openLeaves struct{ others []string }
+
+func (openLeaves) Room(*leaves.Member) int { return 1 }
+
+func (x openLeaves) Prefers(m *leaves.Member) bool { return !slices.Contains(x.others, m.ID) }
+
 // trackerTrial sends one request at a time, as an entry VM with little traffic does, and counts who gets it.
 type trackerTrial struct {
 	tracker *Tracker
 	list    []*leaves.Member
 	now     int
 	chosen  map[string]int
+	// ejected is for how long the last end ejected its leaf.
+	ejected time.Duration
 }
 
 func newTrackerTrial(n int) *trackerTrial {
@@ -27,11 +37,11 @@
 	x.chosen = map[string]int{}
 	for range n {
 		x.now += gap
-		m := x.tracker.Choose(at(x.now), "r", x.list, nil, func(*leaves.Member) int { return 1 })
+		m := x.tracker.Choose(at(x.now), "r", x.list, nil, openLeaves{})
 		x.chosen[m.ID]++
 		end, cancelled := behave(m.ID)
 		x.tracker.Begin(at(x.now), m)
-		x.tracker.Done(at(x.now).Add(end.Latency), "r", m, at(x.now), &end, cancelled)
+		x.ejected = x.tracker.Done(at(x.now).Add(end.Latency), "r", m, at(x.now), &end, cancelled)
 	}
 }
 
@@ -112,3 +122,21 @@
 	x.send(300, 200, healthy)
 	require.Greater(t, x.chosen["a"], 75, "of 300")
 }
+
+// Guards against connections to leaves that other VMs need them for, and against leaves that are not used in trouble.
+func TestTrackerUsesOtherLeavesInTroubleOnly(t *testing.T) {
+	x := NewTracker(TrackerOptions{Zone: "z", HedgeQuantile: 0.9}, testRandom())
+	list, connections := members(3), openLeaves{others: []string{"c"}}
+	for range 50 {
+		require.NotEqual(t, "c", x.Choose(at(0), "r", list, nil, connections).ID)
+	}
+	require.Equal(t, "c", x.Choose(at(0), "r", list, list[:2], connections).ID)
+	for _, m := range list[:2] {
+		for i := range ejectAfter {
+			x.Begin(at(i), m)
+			ejected := x.Done(at(i), "r", m, at(i), &lost, false)
+			require.Equal(t, i == ejectAfter-1, ejected == ejectMin, "the ejection is told")
+		}
+	}
+	require.Equal(t, "c", x.Choose(at(10), "r", list, nil, connections).ID)
+}
--- a/internal/kernel/interfaces.go
+++ b/internal/kernel/interfaces.go
@@ -307,6 +307,8 @@
 	Send(l *leaves.Member, req *forward.LeafRequest, done func(forward.AttemptEnd)) (cancel func())
 	// Room returns how many more attempts the connections to a leaf can take now.
 	Room(l *leaves.Member) int
+	// Prefers reports whether this VM keeps connections to a leaf. Others are for trouble.
+	Prefers(l *leaves.Member) bool
 }
 
 // Command is a typed command of package state, such as state.ApplyConfig. The module control.log encodes it.
--- a/internal/modules/forwarder/decisions.go
+++ b/internal/modules/forwarder/decisions.go
@@ -6,12 +6,13 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/chestnuttiller/chestnuttiller/internal/forward"
+	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
 )
 
 const (
 	// successSample is how many successful requests stand behind one log line.
 	successSample = 200
-	// failureLines bounds the lines about failed requests in each second.
+	// failureLines bounds the lines about failed requests, and those about ejected leaves, in each second.
 	failureLines = 50
 )
 
@@ -80,3 +81,15 @@
 	}
 	return r.run.Describe(r.module.now())
 }
+
+// logEjection tells that a leaf gets no requests for a while, and which attempt led to it.
+func (m *Module) logEjection(r *runner, l *leaves.Member, end *forward.AttemptEnd, d time.Duration) {
+	m.mu.Lock()
+	ok, leftOut := m.ejections.allow(m.now(), true)
+	m.mu.Unlock()
+	if !ok {
+		return
+	}
+	_ = level.Warn(m.logger).Log("msg", "leaf ejected", "leaf", l.ID, "service", l.Service, "address", l.Address, "sequence", l.Sequence, "for_ms", d.Milliseconds(),
+		"request", r.req.ID, "attempt_ms", end.Latency.Milliseconds(), "refused", end.Refused, "err", end.Err, "lines_left_out", leftOut)
+}
--- a/internal/modules/forwarder/module.go
+++ b/internal/modules/forwarder/module.go
@@ -73,6 +73,8 @@
 	// forgotten is when old observations were dropped last.
 	forgotten time.Time
 	samples   sampler
+	// ejections bounds the lines about ejected leaves.
+	ejections sampler
 }
 
 // Provision implements kernel.Provisioner.
--- a/internal/modules/forwarder/runner.go
+++ b/internal/modules/forwarder/runner.go
@@ -104,9 +104,12 @@
 	if f.cancelled {
 		m.metrics.cancelled.Inc(1)
 	}
-	m.tracker.Done(m.now(), r.route.Name, f.leaf, f.began, &end, f.cancelled)
+	ejected := m.tracker.Done(m.now(), r.route.Name, f.leaf, f.began, &end, f.cancelled)
 	m.waiters.wake(f.leaf.Service)
 	m.mu.Unlock()
+	if ejected > 0 {
+		m.logEjection(r, f.leaf, &end, ejected)
+	}
 	r.ends <- attemptEnd{f, end}
 }
 
@@ -163,7 +166,7 @@
 	list := m.members(service)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.tracker.Choose(now, r.route.Name, list, tried, m.transport.Room)
+	return m.tracker.Choose(now, r.route.Name, list, tried, m.transport)
 }
 
 // Known implements forward.Env.
--- a/internal/modules/leafpool/conn.go
+++ b/internal/modules/leafpool/conn.go
@@ -22,6 +22,10 @@
 	open    int
 	idle    []*conn
 	retired bool
+	// preconnecting counts the connections that are opened in advance. Requests do not wait for them.
+	preconnecting int
+	// unreachableUntil is when the next connection may be opened in advance after one could not be, or was not of use.
+	unreachableUntil time.Time
 }
 
 // take returns an idle connection that the leaf will keep open for some time yet, or nil.
@@ -62,6 +66,12 @@
 	p.module.mu.Lock()
 	defer p.module.mu.Unlock()
 	p.open--
+	if c != nil && !c.used {
+		p.unreachableUntil = p.module.now().Add(preconnectRetry)
+	}
+	if p.open == 0 && !p.retired {
+		p.module.wantConnections()
+	}
 	for i, x := range p.idle {
 		if x == c {
 			p.idle = append(p.idle[:i], p.idle[i+1:]...)
@@ -120,6 +130,8 @@
 	reader *bufio.Reader
 	// goodUntil is when the leaf may close the idle connection. It is zero when the leaf does not say.
 	goodUntil time.Time
+	// used says that a reply has come over the connection. The reading goroutine owns it.
+	used bool
 
 	// writing is held while a request is written that fits the socket buffer. The reply to it can be read before the
 	// write has returned.
@@ -235,6 +247,7 @@
 	reusable = reusable && c.written && c.reader.Buffered() == 0
 	c.current, c.ended = nil, !reusable
 	c.mu.Unlock()
+	c.used = true
 	if !reusable {
 		return false
 	}
--- a/internal/modules/leafpool/leafpool_test.go
+++ b/internal/modules/leafpool/leafpool_test.go
@@ -76,7 +76,7 @@
 	require.NoError(t, err)
 	control := kernel.NewTestControl()
 	control.SetTestView(&kernel.View{Routes: table, EntryVMs: 1, Leaves: &leaves.Index{Services: map[model.ServiceName][]*leaves.Member{"s": {l}}}})
-	m := &Module{control: control, protocol: lineProtocol{}, logger: log.NewNopLogger(), now: time.Now, pools: map[leaves.Key]*pool{}, metrics: newMetrics(tally.NoopScope)}
+	m := &Module{control: control, protocol: lineProtocol{}, logger: log.NewNopLogger(), now: time.Now, pools: map[leaves.Key]*pool{}, wanted: make(chan struct{}, 1), metrics: newMetrics(tally.NoopScope)}
 	m.run, m.cancel = context.WithCancel(context.Background())
 	t.Cleanup(func() { _ = m.Stop(context.Background()) })
 	return m
@@ -187,3 +187,67 @@
 	late()
 	require.Equal(t, "b", string((<-second).Reply.Body))
 }
+
+// Guards against requests that wait for a connection although the leaf has been known for long, and against a leaf that
+// is left without one after it has closed an idle one.
+func TestConnectionsAreOpenedInAdvance(t *testing.T) {
+	closing := make(chan struct{})
+	l, count := startLeaf(t, func(c net.Conn, r *bufio.Reader) {
+		go func() {
+			<-closing
+			_ = c.Close()
+		}()
+		echo(c, r)
+	})
+	m := newModule(t, l, 4)
+	m.choosePreferred(m.control.View())
+	go m.preconnect(m.run)
+	opened := func(n int32) func() bool {
+		return func() bool {
+			return count.Load() == n && m.Room(l) == m.limit(l)
+		}
+	}
+	require.Eventually(t, opened(1), 5*time.Second, time.Millisecond)
+	done, _ := send(m, l, "a")
+	require.NoError(t, (<-done).Err)
+	require.EqualValues(t, 1, count.Load(), "the request uses the connection that was opened")
+	close(closing)
+	require.Eventually(t, func() bool { return count.Load() >= 2 }, 5*time.Second, time.Millisecond)
+}
+
+// Guards against a loop of connections to a leaf that closes each of them at once, as leaves do beyond their limit.
+func TestConnectionsInAdvanceAreNotForced(t *testing.T) {
+	l, count := startLeaf(t, func(net.Conn, *bufio.Reader) {})
+	m := newModule(t, l, 4)
+	m.choosePreferred(m.control.View())
+	go m.preconnect(m.run)
+	time.Sleep(10 * preconnectPause)
+	require.EqualValues(t, 1, count.Load())
+}
+
+// Guards against a request that is refused because a connection is being opened in advance.
+func TestRequestsDoNotWaitForConnectionsInAdvance(t *testing.T) {
+	l, _ := startLeaf(t, echo)
+	m := newModule(t, l, 1)
+	m.mu.Lock()
+	p := m.poolOf(l)
+	p.open, p.preconnecting = 1, 1
+	m.mu.Unlock()
+	require.Equal(t, 1, m.Room(l))
+	done, _ := send(m, l, "a")
+	require.NoError(t, (<-done).Err)
+}
+
+// Guards against connections in advance from all VMs to all leaves while the number of VMs is not known.
+func TestNoConnectionsInAdvanceForAnUnknownNumberOfVMs(t *testing.T) {
+	l, count := startLeaf(t, echo)
+	m := newModule(t, l, 4)
+	v := *m.control.View()
+	v.EntryVMs = 0
+	m.choosePreferred(&v)
+	go m.preconnect(m.run)
+	time.Sleep(5 * preconnectPause)
+	require.Zero(t, count.Load())
+	m.choosePreferred(m.control.View())
+	require.Eventually(t, func() bool { return count.Load() == 1 }, 5*time.Second, time.Millisecond)
+}
--- a/internal/modules/leafpool/module.go
+++ b/internal/modules/leafpool/module.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -17,6 +18,7 @@
 	"github.com/chestnuttiller/chestnuttiller/internal/forward"
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
+	"github.com/chestnuttiller/chestnuttiller/internal/model"
 	"github.com/chestnuttiller/chestnuttiller/internal/settings"
 )
 
@@ -68,6 +70,12 @@
 	run      context.Context
 	cancel   context.CancelFunc
 
+	vm   model.VMName
+	zone model.AvailabilityZone
+	// preferred holds the leaves to which this VM keeps connections. wanted gets a value when one may be missing.
+	preferred atomic.Pointer[map[leaves.Key]*leaves.Member]
+	wanted    chan struct{}
+
 	mu    sync.Mutex
 	pools map[leaves.Key]*pool
 }
@@ -88,6 +96,7 @@
 func (m *Module) Provision(ctx *kernel.Context) error {
 	s := ctx.Settings
 	m.control, m.logger, m.now = ctx.Control, ctx.Logger("leaf_connections"), ctx.Now
+	m.vm, m.zone, m.wanted = ctx.VM.VM, ctx.AvailabilityZone, make(chan struct{}, 1)
 	m.changes = ctx.Control.Changes()
 	probe := s.Duration(section, "probe_interval")
 	m.dialer = net.Dialer{
@@ -104,7 +113,11 @@
 // Start implements kernel.Starter.
 func (m *Module) Start(ctx context.Context) error {
 	m.run, m.cancel = context.WithCancel(ctx)
-	m.control.Follow(m.run, m.changes, m.prune)
+	m.control.Follow(m.run, m.changes, func(v *kernel.View) {
+		m.prune(v)
+		m.choosePreferred(v)
+	})
+	go m.preconnect(m.run)
 	return nil
 }
 
@@ -145,17 +158,31 @@
 	}
 }
 
-// limit returns how many connections this VM may have to a leaf: an equal share of those that are used. Each VM may have
-// one, since it could not reach the leaf otherwise.
-func (m *Module) limit(l *leaves.Member) int {
-	v := m.control.View()
+// share returns how many of the connections to a leaf of a service each entry VM may have, on average.
+func (m *Module) share(v *kernel.View, service model.ServiceName) float64 {
 	accepts := defaultConnections
 	if v.Routes != nil {
-		if s := v.Routes.Service(l.Service); s != nil && s.MaxConnections > 0 {
+		if s := v.Routes.Service(service); s != nil && s.MaxConnections > 0 {
 			accepts = s.MaxConnections
 		}
 	}
-	return max(1, int(math.Round(usedShare*float64(accepts)/float64(v.SharingVMs()))))
+	return usedShare * float64(accepts) / float64(v.SharingVMs())
+}
+
+// limit returns how many connections this VM may have to a leaf. Each VM may have one, since it could not reach the leaf
+// otherwise; where that is more than the leaf accepts, VMs prefer some leaves to others.
+func (m *Module) limit(l *leaves.Member) int {
+	return max(1, int(math.Round(m.share(m.control.View(), l.Service))))
+}
+
+// poolOf returns the pool of a leaf. The lock is held.
+func (m *Module) poolOf(l *leaves.Member) *pool {
+	p := m.pools[l.Key()]
+	if p == nil {
+		p = &pool{module: m, leaf: l}
+		m.pools[l.Key()] = p
+	}
+	return p
 }
 
 // Room implements kernel.LeafTransport.
@@ -167,7 +194,7 @@
 	if p == nil {
 		return limit
 	}
-	return limit - (p.open - len(p.idle))
+	return limit - (p.open - p.preconnecting - len(p.idle))
 }
 
 // Send implements kernel.LeafTransport.
@@ -175,13 +202,9 @@
 	x := &exchange{module: m, req: req, began: m.now(), done: done}
 	limit := m.limit(l)
 	m.mu.Lock()
-	p := m.pools[l.Key()]
-	if p == nil {
-		p = &pool{module: m, leaf: l}
-		m.pools[l.Key()] = p
-	}
+	p := m.poolOf(l)
 	c := p.take(m.now())
-	full := c == nil && p.open >= limit
+	full := c == nil && p.open-p.preconnecting >= limit
 	if c == nil && !full {
 		p.open++
 	}
--- /dev/null
+++ b/internal/modules/leafpool/preconnect.go
@@ -0,0 +1,136 @@
+package leafpool
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
+	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
+)
+
+const (
+	// preconnectPause is the pause between connections that are opened before they are needed. A VM that has just started
+	// reaches 100 leaves within 4 s, and a leaf that takes 6 ms for each is not kept busy by the VMs together.
+	preconnectPause = 40 * time.Millisecond
+	// preconnectRetry is the pause before a leaf is tried again that refused a connection, did not answer, or closed a
+	// connection that no request had used.
+	preconnectRetry = 2 * time.Second
+)
+
+// choosePreferred determines to which leaves this VM keeps connections. Before the number of entry VMs is known, none are
+// opened in advance, since all VMs together would open more than the leaves accept.
+func (m *Module) choosePreferred(v *kernel.View) {
+	if v.Leaves == nil || v.EntryVMs == 0 {
+		return
+	}
+	set := make(map[leaves.Key]*leaves.Member, v.Leaves.Count)
+	for service, list := range v.Leaves.Services {
+		for _, l := range leaves.Preferred(m.vm, m.zone, list, m.share(v, service)) {
+			set[l.Key()] = l
+		}
+	}
+	m.preferred.Store(&set)
+	m.wantConnections()
+}
+
+// Prefers implements kernel.LeafTransport.
+func (m *Module) Prefers(l *leaves.Member) bool {
+	set := m.preferred.Load()
+	return set == nil || (*set)[l.Key()] != nil
+}
+
+// wantConnections lets the goroutine that opens connections look for leaves without one.
+func (m *Module) wantConnections() {
+	select {
+	case m.wanted <- struct{}{}:
+	default: // It is told already.
+	}
+}
+
+// preconnect keeps a connection to each preferred leaf, so that a request does not wait for one.
+func (m *Module) preconnect(ctx context.Context) {
+	for {
+		missing, postponed := m.missing()
+		for _, l := range missing {
+			go m.open(l)
+			if kernel.Wait(ctx, preconnectPause) != nil {
+				return
+			}
+		}
+		var retry <-chan time.Time
+		if postponed {
+			retry = time.After(preconnectRetry)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.wanted:
+		case <-retry:
+		}
+	}
+}
+
+// missing lists the preferred leaves of the services in use to which there is no connection, in random order, and reports
+// whether others have to wait because they could not be reached a moment ago.
+func (m *Module) missing() (list []*leaves.Member, postponed bool) {
+	set, table := m.preferred.Load(), m.control.View().Routes
+	if set == nil || table == nil {
+		return nil, false
+	}
+	now := m.now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for k, l := range *set {
+		if table.Service(l.Service) == nil {
+			continue
+		}
+		switch p := m.pools[k]; {
+		case p == nil:
+			list = append(list, l)
+		case p.open > 0:
+		case now.Before(p.unreachableUntil):
+			postponed = true
+		default:
+			list = append(list, l)
+		}
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list, postponed
+}
+
+// open opens an idle connection to a leaf.
+func (m *Module) open(l *leaves.Member) {
+	m.mu.Lock()
+	p := m.poolOf(l)
+	if p.open > 0 {
+		m.mu.Unlock()
+		return
+	}
+	p.open++
+	p.preconnecting++
+	m.mu.Unlock()
+	n, err := m.dialer.DialContext(m.run, "tcp", l.Address)
+	m.mu.Lock()
+	p.preconnecting--
+	if err != nil {
+		p.unreachableUntil = m.now().Add(preconnectRetry)
+	}
+	m.mu.Unlock()
+	if err != nil {
+		m.metrics.refused.Inc(1)
+		_ = level.Debug(m.logger).Log("msg", "connection not opened in advance", "leaf", l.ID, "address", l.Address, "err", err)
+		p.closed(nil)
+		return
+	}
+	m.metrics.opened.Inc(1)
+	c := newConn(p, n)
+	if !p.put(c) {
+		_ = n.Close() // Requests have opened as many as there may be.
+		p.closed(nil)
+		return
+	}
+	c.read()
+}
