--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -36,7 +36,8 @@
 	otherPenalty = 2
 	// warmPenalty is how much slower a leaf is expected to be until it is warm.
 	warmPenalty = 1.6
-	// failurePenalty scales the expected latency of a leaf by its share of failures.
+	// failurePenalty scales the expected latency of a leaf by its share of failures: a leaf of the own zone that fails one
+	// request in 15 costs as much as a sound one far away, since each failure takes an attempt from the repeat budget.
 	failurePenalty = 15
 	// spread randomizes the choice between leaves of nearly the same expectation, so that VMs do not all choose one.
 	spread = 0.1
