Pass the end of a connection on only when the other side has ended it

A VM closes its half of a connection and frees the place once the target has closed its own. The proxies of the scenarios closed both directions as soon as one had ended, so the VM saw an end that the target had not given, and opened a connection that a busy target refused.

Ruled out: closeGrace in transport.http as the cause.

Change: connections to targets run through the gate of the test itself, which passes each direction and its end on, and drops data or closes during cuts as before. The proxies of the library remain between VMs.

--- a/integration/mesh_test.go
+++ b/integration/mesh_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/Shopify/toxiproxy/v2"
 	"github.com/rs/zerolog"
@@ -26,6 +28,7 @@
 	cuts  []cut
 	nodes map[string]string // IP address to name of node
 	gates []net.Listener
+	flows map[*flow]bool
 }
 
 // linkKey names a direction of connections and where they lead.
@@ -44,7 +47,7 @@
 func newMesh(ip string) *mesh {
 	return &mesh{
 		server: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop()),
-		ip:     ip, links: map[linkKey]*toxiproxy.Proxy{}, nodes: map[string]string{},
+		ip:     ip, links: map[linkKey]*toxiproxy.Proxy{}, nodes: map[string]string{}, flows: map[*flow]bool{},
 	}
 }
 
@@ -94,35 +97,73 @@
 	return l.Addr().String(), nil
 }
 
-// forward passes one connection on through the link of the node that it comes from.
+// forward passes one connection on. It is no proxy of the library, because those close both directions when one has ended,
+// so that a VM would see the end of a connection that the target still counts.
 func (m *mesh) forward(c net.Conn, to, upstream string) {
 	host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
-	m.mu.Lock()
-	from := m.nodes[host]
-	m.mu.Unlock()
-	addr, err := m.link(from, to, upstream)
-	if err != nil {
-		_ = c.Close()
-		return
-	}
-	u, err := net.Dial("tcp", addr)
+	u, err := net.Dial("tcp", upstream)
 	if err != nil {
 		reset(c)
 		return
 	}
+	m.mu.Lock()
+	f := &flow{key: linkKey{m.nodes[host], to, upstream}, ends: [2]net.Conn{c, u}}
+	m.flows[f] = true
+	m.cutFlow(f)
+	m.mu.Unlock()
 	var both sync.WaitGroup
-	both.Add(2)
-	go pipe(&both, u, c)
-	go pipe(&both, c, u)
+	both.Go(func() { f.pass(u, c) })
+	both.Go(func() { f.pass(c, u) })
 	both.Wait()
+	f.close()
+	m.mu.Lock()
+	delete(m.flows, f)
+	m.mu.Unlock()
 }
 
-// pipe copies one direction and then closes both connections, since HTTP has no use for half-open ones.
-func pipe(both *sync.WaitGroup, dst, src net.Conn) {
-	defer both.Done()
-	_, _ = io.Copy(dst, src)
-	_ = dst.Close()
-	_ = src.Close()
+// flow is one connection through a gate.
+type flow struct {
+	key  linkKey
+	ends [2]net.Conn
+	// silent says that data is dropped.
+	silent atomic.Bool
+}
+
+// pass copies one direction, and then its end.
+func (f *flow) pass(dst, src net.Conn) {
+	b := make([]byte, 16<<10)
+	for {
+		n, err := src.Read(b)
+		if n > 0 && !f.silent.Load() {
+			if _, err := dst.Write(b[:n]); err != nil {
+				f.close()
+				return
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			_ = dst.(*net.TCPConn).CloseWrite() // The other direction shows a connection that has ended.
+			return
+		}
+		if err != nil {
+			f.close()
+			return
+		}
+	}
+}
+
+func (f *flow) close() {
+	for _, c := range f.ends {
+		_ = c.Close()
+	}
+}
+
+// cutFlow brings one connection in line with the cuts. The lock is held.
+func (m *mesh) cutFlow(f *flow) {
+	silent, hard := m.covering(f.key)
+	f.silent.Store(silent)
+	if hard {
+		f.close()
+	}
 }
 
 func reset(c net.Conn) {
@@ -135,12 +176,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.cuts = append(m.cuts, cut{a, b, silent})
-	for k, p := range m.links {
-		if err := m.applyCuts(k, p); err != nil {
-			return err
-		}
-	}
-	return nil
+	return m.applyAll()
 }
 
 // heal removes all cuts.
@@ -148,6 +184,14 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.cuts = nil
+	return m.applyAll()
+}
+
+// applyAll brings all links and connections in line with the cuts. The lock is held.
+func (m *mesh) applyAll() error {
+	for f := range m.flows {
+		m.cutFlow(f)
+	}
 	for k, p := range m.links {
 		if err := m.applyCuts(k, p); err != nil {
 			return err
@@ -156,14 +200,19 @@
 	return nil
 }
 
-// applyCuts brings one link in line with the cuts. The lock is held.
-func (m *mesh) applyCuts(k linkKey, p *toxiproxy.Proxy) error {
-	silent, hard := false, false
+// covering returns which kinds of cuts lie on a link. The lock is held.
+func (m *mesh) covering(k linkKey) (silent, hard bool) {
 	for _, c := range m.cuts {
 		if c.covers(k) {
 			silent, hard = silent || c.silent, hard || !c.silent
 		}
 	}
+	return silent, hard
+}
+
+// applyCuts brings one link in line with the cuts. The lock is held.
+func (m *mesh) applyCuts(k linkKey, p *toxiproxy.Proxy) error {
+	silent, hard := m.covering(k)
 	for _, stream := range []string{"upstream", "downstream"} {
 		name := "silence_" + stream
 		present := p.Toxics.GetToxic(name) != nil
@@ -192,4 +241,7 @@
 	for _, p := range m.links {
 		p.Stop()
 	}
+	for f := range m.flows {
+		f.close()
+	}
 }
