Open connections to leaves in one place, and wait for conditions in tests

Cause: reading the change again. A connection for an attempt and one in advance were opened by two copies of the same lines. Room and Prefers stood in two interfaces.

Change: connect opens, and closed alone decides when the next connection may be opened in advance. kernel.LeafTransport embeds forward.Connections. The tests wait for conditions.

--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -121,7 +121,7 @@
 type Connections interface {
 	// Room returns how many more attempts a leaf can take now.
 	Room(*leaves.Member) int
-	// Prefers reports whether this VM keeps connections to the leaf.
+	// Prefers reports whether this VM keeps connections to the leaf. Others are for trouble.
 	Prefers(*leaves.Member) bool
 }
 
--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -96,7 +96,10 @@
 	busy.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
 	<-entered
 	s.SetOptions(Options{ReadHeaderTimeout: long, IdleTimeout: short, MaxHeaderBytes: 1 << 16})
-	time.Sleep(3 * short)
+	// The new idle limit holds for new connections: one that is opened now ends by it, while the older ones stay.
+	later := dial(t, s)
+	require.Equal(t, http.StatusNoContent, later.ask().StatusCode)
+	later.ended()
 	close(release)
 	res, err := http.ReadResponse(busy.r, nil)
 	require.NoError(t, err)
--- a/internal/kernel/interfaces.go
+++ b/internal/kernel/interfaces.go
@@ -305,10 +305,7 @@
 	// Send starts an attempt and calls done once with its end, from any goroutine and possibly before Send returns.
 	// Cancel ends the attempt early and closes its connection; done is still called.
 	Send(l *leaves.Member, req *forward.LeafRequest, done func(forward.AttemptEnd)) (cancel func())
-	// Room returns how many more attempts the connections to a leaf can take now.
-	Room(l *leaves.Member) int
-	// Prefers reports whether this VM keeps connections to a leaf. Others are for trouble.
-	Prefers(l *leaves.Member) bool
+	forward.Connections
 }
 
 // Command is a typed command of package state, such as state.ApplyConfig. The module control.log encodes it.
--- a/internal/modules/leafpool/conn.go
+++ b/internal/modules/leafpool/conn.go
@@ -66,7 +66,7 @@
 	p.module.mu.Lock()
 	defer p.module.mu.Unlock()
 	p.open--
-	if c != nil && !c.used {
+	if c == nil || !c.used {
 		p.unreachableUntil = p.module.now().Add(preconnectRetry)
 	}
 	if p.open == 0 && !p.retired {
--- a/internal/modules/leafpool/leafpool_test.go
+++ b/internal/modules/leafpool/leafpool_test.go
@@ -202,12 +202,11 @@
 	m := newModule(t, l, 4)
 	m.choosePreferred(m.control.View())
 	go m.preconnect(m.run)
-	opened := func(n int32) func() bool {
-		return func() bool {
-			return count.Load() == n && m.Room(l) == m.limit(l)
-		}
-	}
-	require.Eventually(t, opened(1), 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return len(m.poolOf(l).idle) == 1
+	}, 5*time.Second, time.Millisecond)
 	done, _ := send(m, l, "a")
 	require.NoError(t, (<-done).Err)
 	require.EqualValues(t, 1, count.Load(), "the request uses the connection that was opened")
@@ -221,8 +220,8 @@
 	m := newModule(t, l, 4)
 	m.choosePreferred(m.control.View())
 	go m.preconnect(m.run)
-	time.Sleep(10 * preconnectPause)
-	require.EqualValues(t, 1, count.Load())
+	require.Eventually(t, func() bool { return count.Load() == 1 }, 5*time.Second, time.Millisecond)
+	require.Never(t, func() bool { return count.Load() > 1 }, 10*preconnectPause, time.Millisecond)
 }
 
 // Guards against a request that is refused because a connection is being opened in advance.
@@ -246,8 +245,7 @@
 	v.EntryVMs = 0
 	m.choosePreferred(&v)
 	go m.preconnect(m.run)
-	time.Sleep(5 * preconnectPause)
-	require.Zero(t, count.Load())
+	require.Never(t, func() bool { return count.Load() > 0 }, 5*preconnectPause, time.Millisecond)
 	m.choosePreferred(m.control.View())
 	require.Eventually(t, func() bool { return count.Load() == 1 }, 5*time.Second, time.Millisecond)
 }
--- a/internal/modules/leafpool/module.go
+++ b/internal/modules/leafpool/module.go
@@ -224,21 +224,29 @@
 
 // dial opens a connection for an attempt.
 func (p *pool) dial(ctx context.Context, x *exchange) {
-	m := p.module
 	defer x.stopDial()
 	ctx, stop := context.WithDeadline(ctx, x.req.Until)
 	defer stop()
-	n, err := m.dialer.DialContext(ctx, "tcp", p.leaf.Address)
+	c, err := p.connect(ctx)
 	if err != nil {
 		p.closed(nil)
-		m.metrics.refused.Inc(1)
-		_ = level.Debug(m.logger).Log("msg", "connection not opened", "leaf", p.leaf.ID, "address", p.leaf.Address, "err", err)
 		x.refused = ctx.Err() == nil || ctx.Err() == context.DeadlineExceeded
 		x.finish(nil, errs.Wrap(err, errs.KindUnavailable, "send the request to another leaf", "no connection to leaf %s", p.leaf.ID), false)
 		return
 	}
-	m.metrics.opened.Inc(1)
-	c := newConn(p, n)
 	c.begin(x)
 	c.read()
 }
+
+// connect opens a connection that is counted as open already. The caller takes it out of the count when it fails.
+func (p *pool) connect(ctx context.Context) (*conn, error) {
+	m := p.module
+	n, err := m.dialer.DialContext(ctx, "tcp", p.leaf.Address)
+	if err != nil {
+		m.metrics.refused.Inc(1)
+		_ = level.Debug(m.logger).Log("msg", "connection not opened", "leaf", p.leaf.ID, "address", p.leaf.Address, "err", err)
+		return nil, err
+	}
+	m.metrics.opened.Inc(1)
+	return newConn(p, n), nil
+}
--- a/internal/modules/leafpool/preconnect.go
+++ b/internal/modules/leafpool/preconnect.go
@@ -5,8 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/go-kit/log/level"
-
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
 )
@@ -112,24 +110,17 @@
 	p.open++
 	p.preconnecting++
 	m.mu.Unlock()
-	n, err := m.dialer.DialContext(m.run, "tcp", l.Address)
+	c, err := p.connect(m.run)
 	m.mu.Lock()
 	p.preconnecting--
-	if err != nil {
-		p.unreachableUntil = m.now().Add(preconnectRetry)
-	}
 	m.mu.Unlock()
 	if err != nil {
-		m.metrics.refused.Inc(1)
-		_ = level.Debug(m.logger).Log("msg", "connection not opened in advance", "leaf", l.ID, "address", l.Address, "err", err)
 		p.closed(nil)
 		return
 	}
-	m.metrics.opened.Inc(1)
-	c := newConn(p, n)
 	if !p.put(c) {
-		_ = n.Close() // Requests have opened as many as there may be.
-		p.closed(nil)
+		_ = c.net.Close() // Requests have opened as many as there may be.
+		p.closed(c)
 		return
 	}
 	c.read()
