Allow the write of a bad frame to end with the connection that it ends

The VM read the bad frame and closed the connection before the write of it returned, and yamux reports such a write as failed ("session shutdown").

Ruled out: a connection that was closed for another reason; each failure is that error of that write.

Change: the write may end with this one error. The check is stricter elsewhere: a line about a bad frame is expected for each of the two connections, where one was enough.

--- a/internal/modules/peer/module_test.go
+++ b/internal/modules/peer/module_test.go
@@ -204,15 +204,21 @@
 		require.Nil(t, reply.GetRefusal())
 		bad, err := session.OpenStream()
 		require.NoError(t, err)
-		_, err = bad.Write([]byte(garbage))
-		require.NoError(t, err)
+		// yamux reports a write as failed when the VM has read it and closed the connection before the write returns.
+		if _, err = bad.Write([]byte(garbage)); err != nil {
+			require.ErrorIs(t, err, yamux.ErrSessionShutdown)
+		}
 		select {
 		case <-session.CloseChan():
 		case <-time.After(wait):
 			t.Fatalf("the connection stayed open after a bad %s", name)
 		}
 	}
-	require.Eventually(t, second.logs(t, "bad frame"), wait, 5*time.Millisecond)
+	require.Eventually(t, func() bool {
+		data, err := os.ReadFile(second.logFile)
+		require.NoError(t, err)
+		return strings.Count(string(data), "bad frame") == 2
+	}, wait, 5*time.Millisecond, "both connections ended because of their bad frame")
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	reply, err := call(ctx, first, "echo")
