Refuse what a cut-off VM cannot gather, and tell the platform

Cause: in a zone that is cut off, a VM reaches the leaves of its own zone only.

Ruled out: deciding by the connections to control VMs alone, which are lost as well when only control is cut off; and by leaves that do not answer at any time, since crashed leaves are no cut zone.

Change: a zone counts as silent when three of its leaves or more do not answer what was sent since the last reply from the zone, that reply is 300 ms old, and this has held for 100 ms. Leaves of silent zones are used only when there is no other. A request whose route needs more shards than are reachable is refused before anything is sent, with a time to come back and "Connection: close", and the VM is not ready. Connections to silent zones are tried every 500 ms until one opens.

--- a/internal/forward/run_test.go
+++ b/internal/forward/run_test.go
@@ -295,17 +295,17 @@
 	x := NewTracker(TrackerOptions{Zone: "z", HedgeQuantile: 0.9}, testRandom())
 	for i := range 60 {
 		m := list[i%3]
-		x.Begin(at(i), m)
+		x.Begin(at(i), "r", m)
 		ok := success("")
 		ok.Latency = 10 * time.Millisecond
 		x.Done(at(i+10), "r", m, at(i), &ok, false)
 	}
-	x.Begin(at(100), list[0])
+	x.Begin(at(100), "r", list[0])
 	for range 20 {
 		require.NotEqual(t, "a", x.Choose(at(200), "r", list, nil, room).ID, "a has not answered for 100 ms")
 	}
 	for i := range ejectAfter {
-		x.Begin(at(200+i), list[1])
+		x.Begin(at(200+i), "r", list[1])
 		x.Done(at(200+i), "r", list[1], at(200+i), &lost, false)
 	}
 	for range 20 {
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -74,7 +74,10 @@
 	failures   float64
 	failuresAt time.Time
 	inRow      int
-	started    []time.Time
+	started    []startedAttempt
+	// unanswered is when the last attempt began that got no answer, or no connection.
+	unanswered time.Time
+	zone       model.AvailabilityZone
 	load       Load
 	loadAt     time.Time
 	// shedUntil and ejectedUntil keep requests away for a while. ejections counts those without a success since.
@@ -83,6 +86,12 @@
 	used                    time.Time
 }
 
+type startedAttempt struct {
+	at time.Time
+	// patience is the age from which on the attempt shows its leaf to be silent.
+	patience time.Duration
+}
+
 type latencies struct {
 	current, previous *hdrhistogram.Histogram
 	since             time.Time
@@ -100,18 +109,23 @@
 	random  *rand.Rand
 	leaves  map[leaves.Key]*leafStats
 	routes  map[string]*latencies
+	zones   map[model.AvailabilityZone]*zoneStats
+	// scanned is when the availability zones were looked at last.
+	scanned time.Time
 }
 
 // NewTracker returns a tracker without observations.
 func NewTracker(o TrackerOptions, random *rand.Rand) *Tracker {
-	return &Tracker{options: o, random: random, leaves: map[leaves.Key]*leafStats{}, routes: map[string]*latencies{}}
+	return &Tracker{
+		options: o, random: random, leaves: map[leaves.Key]*leafStats{}, routes: map[string]*latencies{}, zones: map[model.AvailabilityZone]*zoneStats{},
+	}
 }
 
 func (t *Tracker) stats(m *leaves.Member) *leafStats {
 	k := m.Key()
 	s := t.leaves[k]
 	if s == nil {
-		s = &leafStats{}
+		s = &leafStats{zone: m.AvailabilityZone}
 		t.leaves[k] = s
 	}
 	return s
@@ -126,17 +140,19 @@
 }
 
 // Choose returns the leaf that is expected to answer first among those that were not tried and have room, or nil.
-// Ejected leaves are chosen only when there is no other, or for a single trial once their time is over.
+// Ejected leaves are chosen only when there is no other, or for a single trial once their time is over. Leaves of silent
+// availability zones are chosen only when there is no other.
 func (t *Tracker) Choose(now time.Time, route string, list, tried []*leaves.Member, connections Connections) *leaves.Member {
 	var best, ejected *leaves.Member
 	var bestCost float64
 	usual := t.usual(route)
+	t.scanZones(now)
 	for _, m := range list {
 		if slices.ContainsFunc(tried, func(x *leaves.Member) bool { return x.ID == m.ID }) || connections.Room(m) <= 0 {
 			continue
 		}
 		s := t.stats(m)
-		if now.Before(s.ejectedUntil) || s.ejections > 0 && len(s.started) > 0 {
+		if now.Before(s.ejectedUntil) || s.ejections > 0 && len(s.started) > 0 || t.zone(m.AvailabilityZone).silent {
 			if ejected == nil || s.ejectedUntil.Before(t.stats(ejected).ejectedUntil) {
 				ejected = m
 			}
@@ -176,7 +192,7 @@
 	// Work in the slots slows a leaf a little, and work behind them has to wait for a slot.
 	cost := pace * (1 + 0.25*busy/float64(slots) + max(0, busy+1-float64(slots))/float64(slots))
 	if len(s.started) > 0 {
-		if age := now.Sub(s.started[0]); float64(age) > stallFactor*pace*float64(usual) {
+		if age := now.Sub(s.started[0].at); float64(age) > stallFactor*pace*float64(usual) {
 			cost += float64(age) / float64(usual)
 		}
 	}
@@ -201,9 +217,9 @@
 }
 
 // Begin notes the start of an attempt.
-func (t *Tracker) Begin(now time.Time, m *leaves.Member) {
+func (t *Tracker) Begin(now time.Time, route string, m *leaves.Member) {
 	s := t.stats(m)
-	s.started = append(s.started, now)
+	s.started = append(s.started, startedAttempt{at: now, patience: t.patience(route)})
 	s.used = now
 }
 
@@ -211,14 +227,20 @@
 // silent for long. Done returns for how long the leaf is ejected because of this end, or 0.
 func (t *Tracker) Done(now time.Time, route string, m *leaves.Member, began time.Time, end *AttemptEnd, cancelled bool) (ejected time.Duration) {
 	s := t.stats(m)
-	if i := slices.Index(s.started, began); i >= 0 {
+	if i := slices.IndexFunc(s.started, func(a startedAttempt) bool { return a.at.Equal(began) }); i >= 0 {
 		s.started = slices.Delete(s.started, i, i+1)
 	}
 	r := end.Reply
 	if r != nil && r.Load != nil {
 		s.load, s.loadAt = *r.Load, now
 	}
-	silent := r == nil && end.Sent && end.Latency >= max(silenceMin, stallFactor*t.usual(route))
+	if r != nil {
+		t.zone(s.zone).replied = now
+	}
+	silent := r == nil && end.Sent && end.Latency >= t.patience(route)
+	if silent || end.Refused {
+		s.unanswered = began
+	}
 	switch {
 	case cancelled && r == nil && !silent:
 	case r != nil && r.WrongLeaf:
@@ -240,6 +262,11 @@
 	return 0
 }
 
+// patience returns the age from which on an unanswered attempt shows its leaf to be silent.
+func (t *Tracker) patience(route string) time.Duration {
+	return max(silenceMin, stallFactor*t.usual(route))
+}
+
 // observeFailure takes a failure as 1 and a success as 0.
 func (s *leafStats) observeFailure(now time.Time, failed float64) {
 	w := weight(now, s.failuresAt)
--- a/internal/forward/tracker_test.go
+++ b/internal/forward/tracker_test.go
@@ -40,7 +40,7 @@
 		m := x.tracker.Choose(at(x.now), "r", x.list, nil, openLeaves{})
 		x.chosen[m.ID]++
 		end, cancelled := behave(m.ID)
-		x.tracker.Begin(at(x.now), m)
+		x.tracker.Begin(at(x.now), "r", m)
 		x.ejected = x.tracker.Done(at(x.now).Add(end.Latency), "r", m, at(x.now), &end, cancelled)
 	}
 }
@@ -133,7 +133,7 @@
 	require.Equal(t, "c", x.Choose(at(0), "r", list, list[:2], connections).ID)
 	for _, m := range list[:2] {
 		for i := range ejectAfter {
-			x.Begin(at(i), m)
+			x.Begin(at(i), "r", m)
 			ejected := x.Done(at(i), "r", m, at(i), &lost, false)
 			require.Equal(t, i == ejectAfter-1, ejected == ejectMin, "the ejection is told")
 		}
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -118,6 +118,8 @@
 	Body       []byte
 	// RetryAfter is when a refused caller may come back.
 	RetryAfter time.Duration
+	// Elsewhere asks the caller to connect to another VM.
+	Elsewhere bool
 	// Reason says in a few words what led to the response.
 	Reason string
 }
--- a/internal/modules/forwarder/module.go
+++ b/internal/modules/forwarder/module.go
@@ -56,7 +56,10 @@
 
 // Module runs requests.
 type Module struct {
+	run       context.Context
+	cancel    context.CancelFunc
 	control   *kernel.Control
+	readiness *kernel.Readiness
 	transport kernel.LeafTransport
 	logger    log.Logger
 	metrics   metrics
@@ -76,13 +79,15 @@
 	samples   sampler
 	// ejections bounds the lines about ejected leaves.
 	ejections sampler
+	zones     zoneWatch
 }
 
 // Provision implements kernel.Provisioner.
 func (m *Module) Provision(ctx *kernel.Context) error {
 	s := ctx.Settings
 	m.control, m.logger, m.now = ctx.Control, ctx.Logger("forward"), ctx.Now
-	m.started = ctx.Now()
+	m.readiness, m.started = ctx.Readiness, ctx.Now()
+	m.run, m.cancel = context.WithCancel(context.Background())
 	m.metrics = newMetrics(ctx.Scope("forward"))
 	m.options = forward.Options{CallerDelay: callerDelay(s)}
 	m.limits = forward.BudgetLimits{
@@ -99,6 +104,12 @@
 	return err
 }
 
+// Stop implements kernel.Stopper.
+func (m *Module) Stop(context.Context) error {
+	m.cancel()
+	return nil
+}
+
 // callerDelay returns how long before the end of the objective an answer has to leave. Reading a request and writing its
 // answer take longer on a VM with a small share of a core.
 func callerDelay(s *settings.Settings) time.Duration {
@@ -116,6 +127,9 @@
 	if route == nil {
 		return m.end(req, nil, &forward.Response{Kind: forward.KindNoRoute, Reason: "no route matches"})
 	}
+	if x := m.unreachable(view, route, m.silentZones(m.now())); x != nil {
+		return m.end(req, nil, x)
+	}
 	r := &runner{module: m, ctx: ctx, req: req, route: route, version: view.Routes.Version, wakes: make(chan struct{}, 1)}
 	var service model.ServiceName
 	if !route.Gathers() {
@@ -166,6 +180,7 @@
 	scope                             tally.Scope
 	first, retries, hedges, cancelled tally.Counter
 	latency                           tally.Histogram
+	silentZones                       tally.Gauge
 }
 
 // latencyBuckets cover an answer within a zone at 1 ms up to a caller's patience of 16 s.
@@ -178,5 +193,6 @@
 	return metrics{
 		scope: s, first: attempts("first"), retries: attempts("retry"), hedges: attempts("hedge"),
 		cancelled: s.Counter("attempts_cancelled"), latency: s.Histogram("latency", latencyBuckets),
+		silentZones: s.Gauge("silent_zones"),
 	}
 }
--- a/internal/modules/forwarder/runner.go
+++ b/internal/modules/forwarder/runner.go
@@ -61,6 +61,12 @@
 			r.start(now, s)
 		}
 		r.wait()
+		if age := now.Sub(r.req.Received); age < zoneCheckEnd {
+			r.module.silentZones(now)
+			if next := now.Add(zoneCheck); next.Before(wake) {
+				wake = next
+			}
+		}
 		timer.Reset(max(wake.Sub(r.module.now()), 0))
 		select {
 		case x := <-r.ends:
@@ -90,7 +96,7 @@
 	f := &flight{part: s.Part, attempt: s.Attempt, leaf: s.Leaf, began: now}
 	r.flights = append(r.flights, f)
 	m.mu.Lock()
-	m.tracker.Begin(now, s.Leaf)
+	m.tracker.Begin(now, r.route.Name, s.Leaf)
 	m.forget(now)
 	m.mu.Unlock()
 	req := &forward.LeafRequest{Request: r.req, Leaf: s.Leaf.ID, Until: s.Until}
--- /dev/null
+++ b/internal/modules/forwarder/zones.go
@@ -0,0 +1,169 @@
+package forwarder
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/chestnuttiller/chestnuttiller/internal/forward"
+	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
+	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
+	"github.com/chestnuttiller/chestnuttiller/internal/model"
+	"github.com/chestnuttiller/chestnuttiller/internal/routes"
+)
+
+const (
+	readinessKey = "forward"
+	// zoneCheck is how often a request that waits for replies looks whether an availability zone has fallen silent, until it
+	// is zoneCheckEnd old. Both allow for the time after which a zone counts as silent.
+	zoneCheck    = 100 * time.Millisecond
+	zoneCheckEnd = 600 * time.Millisecond
+	// zoneProbe is how often connections to silent zones are tried. A VM is asked once a second whether it is ready.
+	zoneProbe = 500 * time.Millisecond
+	// unreachablePause is when a caller may come back whose request needs shards that this VM does not reach. It has to reach
+	// another VM.
+	unreachablePause = 250 * time.Millisecond
+)
+
+// zoneWatch is what the module does about silent availability zones.
+type zoneWatch struct {
+	// probing says that a goroutine tries to reach the silent zones. The lock of the module guards it.
+	probing bool
+	// reason is why the VM is not ready. The goroutine owns it.
+	reason string
+}
+
+// silentZones lists the silent availability zones, and starts to probe them.
+func (m *Module) silentZones(now time.Time) []model.AvailabilityZone {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	silent := m.tracker.SilentZones(now)
+	if len(silent) > 0 && !m.zones.probing && m.run.Err() == nil {
+		m.zones.probing = true
+		go m.probeZones()
+	}
+	return silent
+}
+
+// unreachable returns the response to a request that needs more shards than this VM reaches, or nil. Nothing is sent.
+func (m *Module) unreachable(v *kernel.View, route *routes.Route, silent []model.AvailabilityZone) *forward.Response {
+	if !route.Gathers() || len(silent) == 0 || v.Leaves == nil {
+		return nil
+	}
+	n := forward.Reachable(route, v.Leaves, silent)
+	if forward.Covers(route, n) {
+		return nil
+	}
+	return &forward.Response{
+		Kind: forward.KindRefused, RetryAfter: unreachablePause, Elsewhere: true, Missing: len(route.Shards),
+		Reason: fmt.Sprintf("%d of %d shards are reachable, no leaf answers from %v", n, len(route.Shards), silent),
+	}
+}
+
+// probeZones tries to reach the silent zones until all answer. Meanwhile the VM is not ready if it reaches too few shards of
+// a route, so that callers connect to VMs of other zones.
+func (m *Module) probeZones() {
+	var before []model.AvailabilityZone
+	for {
+		m.mu.Lock()
+		silent := m.tracker.SilentZones(m.now())
+		m.mu.Unlock()
+		m.logZones(before, silent)
+		before = silent
+		m.judgeReadiness(silent)
+		if len(silent) == 0 {
+			m.mu.Lock()
+			m.zones.probing = false
+			m.mu.Unlock()
+			return
+		}
+		m.probe(silent)
+		if kernel.Wait(m.run, zoneProbe) != nil {
+			return
+		}
+	}
+}
+
+func (m *Module) logZones(before, silent []model.AvailabilityZone) {
+	m.metrics.silentZones.Update(float64(len(silent)))
+	for _, z := range silent {
+		if !slices.Contains(before, z) {
+			_ = level.Warn(m.logger).Log("msg", "availability zone is silent", "zone", z)
+		}
+	}
+	for _, z := range before {
+		if !slices.Contains(silent, z) {
+			_ = level.Info(m.logger).Log("msg", "availability zone answers again", "zone", z)
+		}
+	}
+}
+
+func (m *Module) judgeReadiness(silent []model.AvailabilityZone) {
+	v := m.control.View()
+	reason := ""
+	if v.Routes != nil {
+		for i := range v.Routes.Routes {
+			if x := m.unreachable(v, &v.Routes.Routes[i], silent); x != nil {
+				reason = fmt.Sprintf("route %s: %s", v.Routes.Routes[i].Name, x.Reason)
+				break
+			}
+		}
+	}
+	if reason == m.zones.reason {
+		return
+	}
+	m.zones.reason = reason
+	if reason == "" {
+		m.readiness.Clear(readinessKey)
+		_ = level.Info(m.logger).Log("msg", "the VM is ready again")
+		return
+	}
+	m.readiness.Set(readinessKey, reason)
+	_ = level.Warn(m.logger).Log("msg", "the VM is not ready", "reason", reason)
+}
+
+// probe opens a connection to one leaf of each silent zone, and takes a zone for reachable once one is open.
+func (m *Module) probe(silent []model.AvailabilityZone) {
+	index := m.control.View().Leaves
+	if index == nil {
+		return
+	}
+	var all sync.WaitGroup
+	for _, zone := range silent {
+		l := m.leafIn(index, zone)
+		if l == nil {
+			continue
+		}
+		all.Go(func() {
+			if err := m.transport.Reach(m.run, l); err != nil {
+				_ = level.Debug(m.logger).Log("msg", "leaf of a silent zone is not reached", "zone", zone, "leaf", l.ID, "err", err)
+				return
+			}
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.tracker.Reached(m.now(), zone)
+		})
+	}
+	all.Wait()
+}
+
+// leafIn returns a random leaf of an availability zone, or nil.
+func (m *Module) leafIn(index *leaves.Index, zone model.AvailabilityZone) *leaves.Member {
+	var in []*leaves.Member
+	for _, list := range index.Services {
+		for _, l := range list {
+			if l.AvailabilityZone == zone {
+				in = append(in, l)
+			}
+		}
+	}
+	if len(in) == 0 {
+		return nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return in[m.random.IntN(len(in))]
+}
--- a/internal/modules/leafpool/module.go
+++ b/internal/modules/leafpool/module.go
@@ -222,6 +222,15 @@
 	return x.cancel
 }
 
+// Reach implements kernel.LeafTransport.
+func (m *Module) Reach(ctx context.Context, l *leaves.Member) error {
+	n, err := m.dialer.DialContext(ctx, "tcp", l.Address)
+	if err != nil {
+		return errs.Wrap(err, errs.KindUnavailable, "try again once the network is whole", "no connection to leaf %s", l.ID)
+	}
+	return n.Close()
+}
+
 // dial opens a connection for an attempt.
 func (p *pool) dial(ctx context.Context, x *exchange) {
 	defer x.stopDial()
