Leave room at the leaves for all VMs that come back

The trace until second 53 shows attempts without a connection, or with one that ends after the request, at all shards. A leaf accepts 75 connections and counts those of the lost VMs until it closes them as idle. 86 VMs kept connections to two of three leaves of each shard (57 a leaf), and all those to other leaves that hedges had opened. After the restart no control VM knew the number of entry VMs for 5 s, so that each VM assumed 16 and opened up to three connections to each leaf.

Ruled out: the control group (routes and leaves were there after 1 s), and the repeat budget (most parts had three attempts).

Change: where leaves accept fewer connections than there are VMs, the VMs hold half of them together, each one leaf of a service at least; for 10 s after its start a VM keeps to one. A leaf that refuses a connection, or ends one that was not used, is passed over for the next. Connections to other leaves are closed after 1 s while a preferred one serves. Control VMs keep the number of entry VMs on disk with the leaves. A new connection that the leaf ends counts as refused in the choice of leaves.

TestConnectionsToOtherLeavesAreNotKept, TestAnotherLeafTakesThePlaceOfAFullOne and the other new tests fail without the change.

--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -74,7 +74,7 @@
 	Err   error
 	// Sent says that bytes of the request may have reached the leaf.
 	Sent bool
-	// Refused says that no connection to the leaf could be opened.
+	// Refused says that no connection to the leaf could be opened, or that the leaf closed a new one.
 	Refused bool
 	// Latency is the time from the start of the attempt to its end.
 	Latency time.Duration
--- a/internal/leaves/preferred.go
+++ b/internal/leaves/preferred.go
@@ -10,37 +10,35 @@
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
 )
 
-// leastPreferred is how many leaves of a service a VM uses at least, so that a slow attempt can be hedged.
-const leastPreferred = 2
-
-// Preferred returns the leaves of a service that a VM keeps connections to. Share is how many connections to one leaf the
-// VM may have on average. Where it is below 1, the VMs together are more than a leaf accepts connections, and each uses a
-// part of the leaves: those of its own availability zone first, then those with the lowest hashes of VM and leaf, so that
-// the VMs spread over all leaves without knowing each other. The others remain for trouble.
-func Preferred(vm model.VMName, zone model.AvailabilityZone, list []*Member, share float64) []*Member {
-	n := len(list)
-	if share >= 1 || n <= leastPreferred {
+// Preferred returns the leaves of a service that a VM keeps connections to. Wanted is to how many of them, on average over
+// the VMs; it is fewer than all where the VMs together are more than a leaf accepts connections. A VM uses the leaves of its
+// own availability zone first, then those with the lowest hashes of VM and leaf, so that the VMs spread over all leaves
+// without knowing each other. Leaves that are full are passed over unless all are. The others remain for trouble.
+func Preferred(vm model.VMName, zone model.AvailabilityZone, list []*Member, wanted float64, full func(*Member) bool) []*Member {
+	if wanted >= float64(len(list)) {
 		return list
 	}
 	type ranked struct {
-		member *Member
-		far    bool
-		hash   uint64
+		member    *Member
+		full, far int
+		hash      uint64
 	}
-	order := make([]ranked, n)
+	order := make([]ranked, len(list))
 	for i, m := range list {
-		order[i] = ranked{m, m.AvailabilityZone != zone, xxhash.Sum64String(string(vm) + "\x00" + m.ID)}
+		order[i] = ranked{member: m, hash: xxhash.Sum64String(string(vm) + "\x00" + m.ID)}
+		if full(m) {
+			order[i].full = 1
+		}
+		if m.AvailabilityZone != zone {
+			order[i].far = 1
+		}
 	}
 	slices.SortFunc(order, func(a, b ranked) int {
-		if a.far != b.far {
-			if a.far {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Compare(a.hash, b.hash)
+		return cmp.Or(cmp.Compare(a.full, b.full), cmp.Compare(a.far, b.far), cmp.Compare(a.hash, b.hash))
 	})
-	out := make([]*Member, min(max(leastPreferred, int(math.Round(share*float64(n)))), n))
+	// The fraction is rounded up on as many VMs as it says.
+	fraction := float64(xxhash.Sum64String(string(vm)+"\x00"+string(list[0].Service))) / math.MaxUint64
+	out := make([]*Member, max(1, int(wanted+fraction)))
 	for i := range out {
 		out[i] = order[i].member
 	}
--- a/internal/modules/forwarder/zones.go
+++ b/internal/modules/forwarder/zones.go
@@ -23,6 +23,8 @@
 	zoneCheckEnd = 600 * time.Millisecond
 	// zoneProbe is how often connections to silent zones are tried. A VM is asked once a second whether it is ready.
 	zoneProbe = 500 * time.Millisecond
+	// zoneProbeLeaves is how many leaves of a silent zone are tried at a time. One may be down, or accept no more connections.
+	zoneProbeLeaves = 3
 	// unreachablePause is when a caller may come back whose request needs shards that this VM does not reach. It has to reach
 	// another VM.
 	unreachablePause = 250 * time.Millisecond
@@ -125,7 +127,7 @@
 	_ = level.Warn(m.logger).Log("msg", "the VM is not ready", "reason", reason)
 }
 
-// probe opens a connection to one leaf of each silent zone, and takes a zone for reachable once one is open.
+// probe opens a connection to a few leaves of each silent zone, and takes a zone for reachable once one is open.
 func (m *Module) probe(silent []model.AvailabilityZone) {
 	index := m.control.View().Leaves
 	if index == nil {
@@ -133,26 +135,23 @@
 	}
 	var all sync.WaitGroup
 	for _, zone := range silent {
-		l := m.leafIn(index, zone)
-		if l == nil {
-			continue
+		for _, l := range m.leavesIn(index, zone, zoneProbeLeaves) {
+			all.Go(func() {
+				if err := m.transport.Reach(m.run, l); err != nil {
+					_ = level.Debug(m.logger).Log("msg", "leaf of a silent zone is not reached", "zone", zone, "leaf", l.ID, "err", err)
+					return
+				}
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				m.tracker.Reached(m.now(), zone)
+			})
 		}
-		all.Go(func() {
-			if err := m.transport.Reach(m.run, l); err != nil {
-				_ = level.Debug(m.logger).Log("msg", "leaf of a silent zone is not reached", "zone", zone, "leaf", l.ID, "err", err)
-				return
-			}
-			m.mu.Lock()
-			defer m.mu.Unlock()
-			m.tracker.Reached(m.now(), zone)
-		})
 	}
 	all.Wait()
 }
 
-// leafIn returns a random leaf of an availability zone, or nil.
-func (m *Module) leafIn(index *leaves.Index, zone model.AvailabilityZone) *leaves.Member {
-	var in []*leaves.Member
+// leavesIn returns some leaves of an availability zone.
+func (m *Module) leavesIn(index *leaves.Index, zone model.AvailabilityZone, n int) (in []*leaves.Member) {
 	for _, list := range index.Services {
 		for _, l := range list {
 			if l.AvailabilityZone == zone {
@@ -160,10 +159,8 @@
 			}
 		}
 	}
-	if len(in) == 0 {
-		return nil
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return in[m.random.IntN(len(in))]
+	m.random.Shuffle(len(in), func(i, j int) { in[i], in[j] = in[j], in[i] })
+	return in[:min(n, len(in))]
 }
--- a/internal/modules/leafpool/conn.go
+++ b/internal/modules/leafpool/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,10 @@
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
 )
 
+// surplusIdle is how long a connection is kept to a leaf that another one has stood in for: about as long as a busy VM takes
+// to need it again.
+const surplusIdle = time.Second
+
 // pool holds the connections to one leaf. The lock of the module guards its fields.
 type pool struct {
 	module *Module
@@ -58,16 +63,53 @@
 		return false
 	}
 	p.idle = append(p.idle, c)
+	if p.surplus() {
+		if end := p.module.now().Add(surplusIdle); c.goodUntil.IsZero() || end.Before(c.goodUntil) {
+			c.goodUntil = end
+		}
+		time.AfterFunc(surplusIdle, func() { p.expire(c) })
+	}
 	return true
 }
 
+// surplus reports whether the leaf is not preferred while there are connections to one that is. The lock is held.
+func (p *pool) surplus() bool {
+	m := p.module
+	index := m.control.View().Leaves
+	if m.Prefers(p.leaf) || index == nil {
+		return false
+	}
+	for _, l := range index.Services[p.leaf.Service] {
+		if x := m.pools[l.Key()]; x != nil && x.open > 0 && m.Prefers(l) {
+			return true
+		}
+	}
+	return false
+}
+
+// expire closes a connection that has been idle for long.
+func (p *pool) expire(c *conn) {
+	m := p.module
+	m.mu.Lock()
+	i := slices.Index(p.idle, c)
+	expired := i >= 0 && !m.now().Before(c.goodUntil)
+	if expired {
+		p.idle = slices.Delete(p.idle, i, i+1)
+	}
+	m.mu.Unlock()
+	if expired {
+		_ = c.net.Close() // Its reader takes it out of the count.
+	}
+}
+
 // closed takes a connection, or one that could not be opened, out of the count.
 func (p *pool) closed(c *conn) {
 	p.module.mu.Lock()
 	defer p.module.mu.Unlock()
 	p.open--
-	if c == nil || !c.used {
+	if c == nil || !c.wasUsed() {
 		p.unreachableUntil = p.module.now().Add(preconnectRetry)
+		p.module.refused = true
 	}
 	if p.open == 0 && !p.retired {
 		p.module.wantConnections()
@@ -130,9 +172,6 @@
 	reader *bufio.Reader
 	// goodUntil is when the leaf may close the idle connection. It is zero when the leaf does not say.
 	goodUntil time.Time
-	// used says that a reply has come over the connection. The reading goroutine owns it.
-	used bool
-
 	// writing is held while a request is written that fits the socket buffer. The reply to it can be read before the
 	// write has returned.
 	writing sync.Mutex
@@ -143,6 +182,8 @@
 	written bool
 	// ended says that the reader takes no more replies.
 	ended bool
+	// used says that a reply has come over the connection.
+	used bool
 }
 
 // readBufferBytes fits the replies of most leaves.
@@ -230,6 +271,12 @@
 	}
 }
 
+func (c *conn) wasUsed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.used
+}
+
 func (c *conn) exchange() *exchange {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -245,9 +292,8 @@
 	x := c.current
 	// A reply that came before the request was written whole leaves a connection on which the rest would be due.
 	reusable = reusable && c.written && c.reader.Buffered() == 0
-	c.current, c.ended = nil, !reusable
+	c.current, c.ended, c.used = nil, !reusable, true
 	c.mu.Unlock()
-	c.used = true
 	if !reusable {
 		return false
 	}
@@ -269,11 +315,16 @@
 	c.mu.Lock()
 	x := c.current
 	c.current, c.ended = nil, true
+	fresh := !c.used
 	c.mu.Unlock()
 	if x == nil {
 		return
 	}
 	m := c.pool.module
 	m.metrics.broken.Inc(1)
+	// A leaf resets connections beyond those that it accepts, possibly after the first request was sent.
+	x.mu.Lock()
+	x.refused = fresh && !x.cancelled
+	x.mu.Unlock()
 	x.finish(nil, errs.Wrap(err, errs.KindUnknownOutcome, "send the request again only if it is repeatable", "no whole reply of leaf %s", c.pool.leaf.ID), true)
 }
--- a/internal/modules/leafpool/leafpool_test.go
+++ b/internal/modules/leafpool/leafpool_test.go
@@ -262,3 +262,86 @@
 	m.choosePreferred(m.control.View())
 	require.Eventually(t, func() bool { return count.Load() == 1 }, 5*time.Second, time.Millisecond)
 }
+
+// newScarceModule has a leaf for each list, in the VM's zone from the first on, and more VMs than the leaves accept
+// connections.
+func newScarceModule(t *testing.T, accepts, vms int, list ...*leaves.Member) *Module {
+	m := newModule(t, list[0], accepts)
+	m.zone = "own"
+	v := *m.control.View()
+	v.EntryVMs = vms
+	v.Leaves = &leaves.Index{Services: map[model.ServiceName][]*leaves.Member{"s": list}}
+	for i, l := range list {
+		l.ID = string(rune('a' + i))
+	}
+	list[0].AvailabilityZone = "own"
+	m.control.SetTestView(&v)
+	m.choosePreferred(&v)
+	return m
+}
+
+func (m *Module) opened(l *leaves.Member) func() bool {
+	return func() bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.poolOf(l).open == 1
+	}
+}
+
+// Guards against connections to leaves that others stood in for, which stay open until a leaf accepts no more.
+func TestConnectionsToOtherLeavesAreNotKept(t *testing.T) {
+	first, _ := startLeaf(t, echo)
+	second, _ := startLeaf(t, echo)
+	m := newScarceModule(t, 10, 10, first, second)
+	require.True(t, m.Prefers(first))
+	require.False(t, m.Prefers(second))
+	for _, l := range []*leaves.Member{second, first, second} {
+		done, _ := send(m, l, "a")
+		require.NoError(t, (<-done).Err)
+	}
+	require.True(t, m.opened(second)(), "it is kept for a moment")
+	require.Eventually(t, func() bool { return !m.opened(second)() }, 5*time.Second, time.Millisecond)
+	require.True(t, m.opened(first)())
+}
+
+// Guards against a VM without a connection to a service because the leaf that it prefers accepts no more, as after all VMs
+// have lost power.
+func TestAnotherLeafTakesThePlaceOfAFullOne(t *testing.T) {
+	full, _ := startLeaf(t, func(net.Conn, *bufio.Reader) {})
+	other, _ := startLeaf(t, echo)
+	m := newScarceModule(t, 10, 10, full, other)
+	require.True(t, m.Prefers(full))
+	go m.preconnect(m.run)
+	require.Eventually(t, m.opened(other), 5*time.Second, time.Millisecond)
+	require.True(t, m.Prefers(other))
+	require.False(t, m.Prefers(full))
+}
+
+// Guards against VMs that have just started and take all the connections that leaves have left.
+func TestVMsThatHaveJustStartedTakeOneConnection(t *testing.T) {
+	var list []*leaves.Member
+	for range 4 {
+		l, _ := startLeaf(t, echo)
+		list = append(list, l)
+	}
+	m := newScarceModule(t, 10, 10, list...)
+	require.Len(t, *m.preferred.Load(), 2)
+	m.started = m.now()
+	m.choosePreferred(m.control.View())
+	require.Len(t, *m.preferred.Load(), 1)
+}
+
+// Guards against a leaf that resets the connections which it does not accept only after the first request, and that is tried
+// by one request after the other.
+func TestClosedNewConnectionCountsAsRefused(t *testing.T) {
+	l, _ := startLeaf(t, func(_ net.Conn, r *bufio.Reader) { _, _ = r.ReadString('\n') })
+	m := newModule(t, l, 10)
+	done, _ := send(m, l, "a")
+	e := <-done
+	require.True(t, e.Refused)
+	require.True(t, e.Sent, "the leaf may have run it")
+	hung, _ := startLeaf(t, func(_ net.Conn, r *bufio.Reader) { _, _ = r.ReadString(0) })
+	done, cancel := send(m, hung, "a")
+	time.AfterFunc(20*time.Millisecond, cancel)
+	require.False(t, (<-done).Refused, "it was not the leaf that closed it")
+}
--- a/internal/modules/leafpool/module.go
+++ b/internal/modules/leafpool/module.go
@@ -45,6 +45,9 @@
 	// usedShare is the part of a leaf's connections that all entry VMs use. The leaf goes on counting connections of VMs
 	// that lost power or were cut off, and the VMs that come back need room beside them.
 	usedShare = 0.6
+	// scarceShare stands in for it where VMs use a part of the leaves only: after all VMs have lost power, each finds room
+	// for one connection beside those from before.
+	scarceShare = 0.5
 	// probesLost is how many unanswered probes end a connection.
 	probesLost = 2
 	// idleMargin is how long before its end an idle connection is not used any more, so that a request does not
@@ -76,8 +79,12 @@
 	preferred atomic.Pointer[map[leaves.Key]*leaves.Member]
 	wanted    chan struct{}
 
+	started time.Time
+
 	mu    sync.Mutex
 	pools map[leaves.Key]*pool
+	// refused says that a leaf has accepted no connection since the preferred leaves were chosen.
+	refused bool
 }
 
 type metrics struct {
@@ -97,7 +104,7 @@
 	s := ctx.Settings
 	m.control, m.logger, m.now = ctx.Control, ctx.Logger("leaf_connections"), ctx.Now
 	m.vm, m.zone, m.wanted = ctx.VM.VM, ctx.AvailabilityZone, make(chan struct{}, 1)
-	m.changes = ctx.Control.Changes()
+	m.changes, m.started = ctx.Control.Changes(), ctx.Now()
 	probe := s.Duration(section, "probe_interval")
 	m.dialer = net.Dialer{
 		Timeout:         s.Duration(section, "dial_timeout"),
@@ -158,7 +165,7 @@
 	}
 }
 
-// share returns how many of the connections to a leaf of a service each entry VM may have, on average.
+// share returns how many connections to a leaf of a service there are for each entry VM.
 func (m *Module) share(v *kernel.View, service model.ServiceName) float64 {
 	accepts := defaultConnections
 	if v.Routes != nil {
@@ -166,13 +173,13 @@
 			accepts = s.MaxConnections
 		}
 	}
-	return usedShare * float64(accepts) / float64(v.SharingVMs())
+	return float64(accepts) / float64(v.SharingVMs())
 }
 
 // limit returns how many connections this VM may have to a leaf. Each VM may have one, since it could not reach the leaf
 // otherwise; where that is more than the leaf accepts, VMs prefer some leaves to others.
 func (m *Module) limit(l *leaves.Member) int {
-	return max(1, int(math.Round(m.share(m.control.View(), l.Service))))
+	return max(1, int(math.Round(usedShare*m.share(m.control.View(), l.Service))))
 }
 
 // poolOf returns the pool of a leaf. The lock is held.
--- a/internal/modules/leafpool/preconnect.go
+++ b/internal/modules/leafpool/preconnect.go
@@ -16,6 +16,10 @@
 	// preconnectRetry is the pause before a leaf is tried again that refused a connection, did not answer, or closed a
 	// connection that no request had used.
 	preconnectRetry = 2 * time.Second
+	// settleTime is how long after its start a VM keeps a connection to one leaf of each service only, where leaves accept
+	// fewer connections than there are VMs. Leaves go on counting the connections of VMs that have lost power for about
+	// 7 s.
+	settleTime = 10 * time.Second
 )
 
 // choosePreferred determines to which leaves this VM keeps connections. Before the number of entry VMs is known, none are
@@ -24,16 +28,32 @@
 	if v.Leaves == nil || v.EntryVMs == 0 {
 		return
 	}
+	now := m.now()
+	settled := now.Sub(m.started) >= settleTime
 	set := make(map[leaves.Key]*leaves.Member, v.Leaves.Count)
+	m.mu.Lock()
 	for service, list := range v.Leaves.Services {
-		for _, l := range leaves.Preferred(m.vm, m.zone, list, m.share(v, service)) {
+		wanted := float64(len(list))
+		if share := m.share(v, service); usedShare*share < 1 {
+			if wanted *= scarceShare * share; !settled {
+				wanted = 1
+			}
+		}
+		for _, l := range leaves.Preferred(m.vm, m.zone, list, wanted, func(l *leaves.Member) bool { return m.full(now, l) }) {
 			set[l.Key()] = l
 		}
 	}
+	m.mu.Unlock()
 	m.preferred.Store(&set)
 	m.wantConnections()
 }
 
+// full reports whether a leaf has just refused a connection, or closed one that was not used. The lock is held.
+func (m *Module) full(now time.Time, l *leaves.Member) bool {
+	p := m.pools[l.Key()]
+	return p != nil && p.open == 0 && now.Before(p.unreachableUntil)
+}
+
 // Prefers implements kernel.LeafTransport.
 func (m *Module) Prefers(l *leaves.Member) bool {
 	set := m.preferred.Load()
@@ -48,9 +68,18 @@
 	}
 }
 
-// preconnect keeps a connection to each preferred leaf, so that a request does not wait for one.
+// preconnect keeps a connection to each preferred leaf, so that a request does not wait for one. Others take the place of
+// those that accept none.
 func (m *Module) preconnect(ctx context.Context) {
+	settle := time.After(settleTime)
 	for {
+		m.mu.Lock()
+		refused := m.refused
+		m.refused = false
+		m.mu.Unlock()
+		if refused {
+			m.choosePreferred(m.control.View())
+		}
 		missing, postponed := m.missing()
 		for _, l := range missing {
 			go m.open(l)
@@ -67,6 +96,8 @@
 			return
 		case <-m.wanted:
 		case <-retry:
+		case <-settle:
+			m.choosePreferred(m.control.View())
 		}
 	}
 }
--- a/internal/modules/membership/cache.go
+++ b/internal/modules/membership/cache.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	// cacheName is the file in the data folder that holds the leaves.
+	// cacheName is the file in the data folder that holds the leaves and the number of entry VMs.
 	cacheName = "leaves"
 	// cacheInterval bounds how often it is written. Leaves that are missing in it announce themselves within a few
 	// seconds.
@@ -30,24 +30,31 @@
 	checksumBytes = 8
 )
 
-// cache keeps the leaves of a control VM on its disk, so that entry VMs learn of them at once when all VMs have been
-// restarted. It is a hint: leaves that are gone lapse, and a damaged file is left aside.
+// cache keeps the leaves of a control VM and the number of entry VMs on its disk, so that entry VMs learn of them at once
+// when all VMs have been restarted. It is a hint: leaves that are gone lapse, and a damaged file is left aside.
 type cache struct {
 	files  fsys.FS
 	path   string
 	logger log.Logger
-	// next holds the leaves to be written next.
-	next chan []leaves.Leaf
+	// next holds what is to be written next.
+	next chan memory
+}
+
+// memory is what a control VM remembers over a restart.
+type memory struct {
+	leaves []leaves.Leaf
+	// entryVMs is the number of entry VMs, or 0 while it is unknown.
+	entryVMs int
 }
 
 func newCache(files fsys.FS, folder string, logger log.Logger) *cache {
-	return &cache{files: files, path: filepath.Join(folder, cacheName), logger: logger, next: make(chan []leaves.Leaf, 1)}
+	return &cache{files: files, path: filepath.Join(folder, cacheName), logger: logger, next: make(chan memory, 1)}
 }
 
-// offer hands leaves to the writing goroutine, and reports false while it is busy.
-func (c *cache) offer(list []leaves.Leaf) bool {
+// offer hands over what is to be written, and reports false while the writing goroutine is busy.
+func (c *cache) offer(x memory) bool {
 	select {
-	case c.next <- list:
+	case c.next <- x:
 		return true
 	default:
 		return false
@@ -60,8 +67,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case list := <-c.next:
-			if err := c.save(list); err != nil {
+		case x := <-c.next:
+			if err := c.save(x); err != nil {
 				_ = level.Warn(c.logger).Log("msg", "leaves not kept on disk; after a restart they are known once they announce themselves", "err", err)
 			}
 		}
@@ -71,10 +78,10 @@
 	}
 }
 
-func (c *cache) save(list []leaves.Leaf) error {
-	x := &membershippb.WatchReply{}
-	for i := range list {
-		x.Leaves = append(x.Leaves, encodeLeaf(&list[i]))
+func (c *cache) save(kept memory) error {
+	x := &membershippb.WatchReply{EntryVms: uint32(kept.entryVMs)}
+	for i := range kept.leaves {
+		x.Leaves = append(x.Leaves, encodeLeaf(&kept.leaves[i]))
 	}
 	body, err := proto.Marshal(x)
 	if err != nil {
@@ -84,18 +91,18 @@
 	return fsys.WriteDurably(c.files, c.path, append(data, body...))
 }
 
-// load returns the leaves on the disk. None is no error.
-func (c *cache) load() ([]leaves.Leaf, error) {
+// load returns what is on the disk. Nothing is no error.
+func (c *cache) load() (memory, error) {
 	data, err := fsys.ReadAll(c.files, c.path)
 	if errors.Is(err, fs.ErrNotExist) {
-		return nil, nil
+		return memory{}, nil
 	}
 	if err != nil {
-		return nil, err
+		return memory{}, err
 	}
 	if len(data) < checksumBytes || binary.BigEndian.Uint64(data) != xxhash.Sum64(data[checksumBytes:]) {
-		return nil, errs.New(errs.KindCorrupt, "none is needed; the file is written again", "%s is damaged", c.path)
+		return memory{}, errs.New(errs.KindCorrupt, "none is needed; the file is written again", "%s is damaged", c.path)
 	}
 	n, err := decodeNews(data[checksumBytes:])
-	return n.leaves, err
+	return memory{n.leaves, n.entryVMs}, err
 }
--- a/internal/modules/membership/module.go
+++ b/internal/modules/membership/module.go
@@ -127,9 +127,13 @@
 	fewerSince time.Time
 	// started is when the process started.
 	started time.Time
-	// cache is nil on VMs without a data folder. cached is the position of the table that was handed to it last.
-	cache  *cache
-	cached uint64
+	// cache is nil on VMs without a data folder. cached is the position of the table that was handed to it last, and cachedVMs
+	// the number of entry VMs.
+	cache     *cache
+	cached    uint64
+	cachedVMs int
+	// recalledVMs is the number of entry VMs before the restart, or 0.
+	recalledVMs int
 	// changed is closed when there is something new for those that watch.
 	changed chan struct{}
 	ready   bool
@@ -180,11 +184,11 @@
 
 // Start implements kernel.Starter.
 func (m *Module) Start(ctx context.Context) error {
-	var known []leaves.Leaf
+	var known memory
 	if m.cache != nil {
 		var err error
 		if known, err = m.cache.load(); err != nil {
-			_ = level.Warn(m.logger).Log("msg", "leaves on disk are not used", "err", err)
+			_ = level.Warn(m.logger).Log("msg", "what is on disk of leaves and entry VMs is not used", "err", err)
 		}
 		go m.cache.run(m.run)
 	}
@@ -267,13 +271,14 @@
 
 // recall takes over the leaves that were known before a restart. They count as heard from here, and lapse unless they are
 // heard from again somewhere.
-func (m *Module) recall(now time.Time, known []leaves.Leaf) {
-	for _, l := range known {
+func (m *Module) recall(now time.Time, known memory) {
+	for _, l := range known.leaves {
 		l.Origin = m.self
 		m.table.Merge(now, m.self, l)
 	}
-	if len(known) > 0 {
-		_ = level.Info(m.logger).Log("msg", "leaves recalled from disk", "leaves", len(known))
+	m.recalledVMs = known.entryVMs
+	if len(known.leaves) > 0 {
+		_ = level.Info(m.logger).Log("msg", "leaves recalled from disk", "leaves", len(known.leaves), "entry_vms", known.entryVMs)
 	}
 }
 
@@ -343,9 +348,9 @@
 			_ = level.Info(m.logger).Log("msg", "entry VM does not watch any more", "entry_vm", vm, "entry_vms", len(m.entrySeen))
 		}
 	}
-	if p := m.table.Position(); p != m.cached {
-		if list, _ := m.table.Since(0); m.cache.offer(list) {
-			m.cached = p
+	if p, n := m.table.Position(), m.knownEntryVMs(now); p != m.cached || n != m.cachedVMs {
+		if list, _ := m.table.Since(0); m.cache.offer(memory{list, n}) {
+			m.cached, m.cachedVMs = p, n
 		}
 	}
 	counts := m.table.Counts()
@@ -355,6 +360,15 @@
 	m.gauges.entryVMs.Update(float64(len(m.entrySeen)))
 }
 
+// knownEntryVMs returns the number of entry VMs on a control VM, or 0 while it is unknown. For some time after a restart it is
+// the one from before: entry VMs that are restarted as well would otherwise take larger parts of what they share.
+func (m *Module) knownEntryVMs(now time.Time) int {
+	if now.Sub(m.started) > countAfter {
+		return len(m.entrySeen)
+	}
+	return m.recalledVMs
+}
+
 // ContributeView implements kernel.ViewContributor.
 func (m *Module) ContributeView(_ time.Time, v *kernel.View) {
 	v.Routes, v.Leaves, v.EntryVMs = m.routes, m.index, m.entryVMs
--- a/internal/modules/membership/module_test.go
+++ b/internal/modules/membership/module_test.go
@@ -128,20 +128,26 @@
 	require.Equal(t, 3, m.entryVMs)
 }
 
-// Guards against leaves that are forgotten when all control VMs restart, and against a damaged file that stops one.
+// Guards against leaves and a number of entry VMs that are forgotten when all control VMs restart, and against a damaged file
+// that stops one. Without the number, each of many entry VMs would open several connections to each leaf.
 func TestLeavesAreRecalled(t *testing.T) {
 	files := fsystest.NewMemory()
 	c := newCache(files, "data", log.NewNopLogger())
-	list, err := c.load()
+	known, err := c.load()
 	require.NoError(t, err)
-	require.Empty(t, list)
+	require.Empty(t, known)
 	want := []leaves.Leaf{{ID: "i", Service: "s", Address: "h:1", State: leaves.Ready, BornMS: 4, Sequence: 9}, {ID: "j", State: leaves.Gone, BornMS: 3}}
-	require.NoError(t, c.save(want))
-	list, err = newCache(files, "data", log.NewNopLogger()).load()
+	require.NoError(t, c.save(memory{want, 86}))
+	known, err = newCache(files, "data", log.NewNopLogger()).load()
 	require.NoError(t, err)
-	require.Equal(t, want, list)
+	require.Equal(t, memory{want, 86}, known)
 	m := newModule()
-	m.recall(start, list)
+	m.started = start
+	m.recall(start, known)
+	require.EqualValues(t, 86, m.news(start, &membershippb.WatchRequest{}, true).GetEntryVms())
+	later := start.Add(countAfter + time.Second)
+	m.entrySeen = map[model.VMName]time.Time{"e1": later}
+	require.EqualValues(t, 1, m.news(later, &membershippb.WatchRequest{}, true).GetEntryVms())
 	l, _ := m.table.Get("i")
 	require.Equal(t, leaves.Ready, l.State)
 	require.Equal(t, errs.KindConflict, errs.KindOf(m.table.Hear(start, leaves.Leaf{ID: "j", Address: "h:2", BornMS: 3, Sequence: 7, State: leaves.Ready})))
--- a/internal/modules/membership/watch.go
+++ b/internal/modules/membership/watch.go
@@ -125,10 +125,7 @@
 		list, complete = m.table.Since(position)
 	}
 	reply := &membershippb.WatchReply{
-		Incarnation: m.incarnation, Position: m.table.Position(), Complete: complete,
-	}
-	if now.Sub(m.started) > countAfter {
-		reply.EntryVms = uint32(len(m.entrySeen))
+		Incarnation: m.incarnation, Position: m.table.Position(), Complete: complete, EntryVms: uint32(m.knownEntryVMs(now)),
 	}
 	for i := range list {
 		reply.Leaves = append(reply.Leaves, encodeLeaf(&list[i]))
