Spend more of the repeat budget on slow attempts, and use other leaves earlier

Cause: on the grown deployments, where a VM prefers one or two of three leaves, a preferred leaf that is slow or sheds keeps its requests until it costs four times as much as the others (twice for another zone, twice for a leaf that is not preferred), and a quarter of the repeat budget is kept for retries, of which a VM has about five in 10 s.

Change: leaves that are not preferred cost 1.4 times as much instead of twice, hedges leave a tenth of the budget to retries instead of a quarter, and connections to other leaves are closed after 300 ms instead of 1 s.

--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -6,7 +6,7 @@
 	// budgetStep is the resolution of the window of a budget.
 	budgetStep = 500 * time.Millisecond
 	// hedgeReserve is the part of a budget that hedges leave to retries, which answer a failure.
-	hedgeReserve = 0.25
+	hedgeReserve = 0.1
 )
 
 // BudgetLimits bound the attempts beyond the first that one VM sends to a service.
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -31,9 +31,9 @@
 	stallFactor = 2
 	// farPenalty prices an answer from another availability zone, which costs bytes between zones besides its delay.
 	farPenalty = 2
-	// otherPenalty keeps requests away from leaves that are not preferred, unless the preferred ones are in trouble: their
-	// connections belong to other VMs.
-	otherPenalty = 2
+	// otherPenalty keeps requests away from leaves that are not preferred, to which a connection has to be opened, unless the
+	// preferred ones are slow or fail.
+	otherPenalty = 1.4
 	// warmPenalty is how much slower a leaf is expected to be until it is warm.
 	warmPenalty = 1.6
 	// failurePenalty scales the expected latency of a leaf by its share of failures: a leaf of the own zone that fails one
--- a/internal/modules/leafpool/conn.go
+++ b/internal/modules/leafpool/conn.go
@@ -14,9 +14,9 @@
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
 )
 
-// surplusIdle is how long a connection is kept to a leaf that another one has stood in for: about as long as a busy VM takes
-// to need it again.
-const surplusIdle = time.Second
+// surplusIdle is how long a connection is kept to a leaf that stood in for another one. Requests that come together use it
+// again; kept for longer, such connections make leaves reset those of VMs that come back after a power loss.
+const surplusIdle = 300 * time.Millisecond
 
 // pool holds the connections to one leaf. The lock of the module guards its fields.
 type pool struct {
