--- a/internal/forward/zones.go
+++ b/internal/forward/zones.go
@@ -84,6 +84,9 @@
 	return out
 }
 
+// LastReply returns when a leaf of an availability zone answered last. It is zero when none has.
+func (t *Tracker) LastReply(zone model.AvailabilityZone) time.Time { return t.zone(zone).replied }
+
 // Reached notes that a leaf of an availability zone can be reached again, although no request has been answered.
 func (t *Tracker) Reached(now time.Time, zone model.AvailabilityZone) {
 	*t.zone(zone) = zoneStats{replied: now}
--- a/internal/modules/forwarder/zones.go
+++ b/internal/modules/forwarder/zones.go
@@ -89,12 +89,17 @@
 	}
 }
 
+// logZones tells which zones have fallen silent, and which answer again.
 func (m *Module) logZones(before, silent []model.AvailabilityZone) {
 	m.metrics.silentZones.Update(float64(len(silent)))
 	for _, z := range silent {
-		if !slices.Contains(before, z) {
-			_ = level.Warn(m.logger).Log("msg", "availability zone is silent", "zone", z)
+		if slices.Contains(before, z) {
+			continue
 		}
+		m.mu.Lock()
+		last := m.tracker.LastReply(z)
+		m.mu.Unlock()
+		_ = level.Warn(m.logger).Log("msg", "availability zone is silent", "zone", z, "last_reply", last.UTC().Format(time.RFC3339Nano))
 	}
 	for _, z := range before {
 		if !slices.Contains(silent, z) {
@@ -103,6 +108,7 @@
 	}
 }
 
+// judgeReadiness makes the VM ready or not, by the shards that its routes need.
 func (m *Module) judgeReadiness(silent []model.AvailabilityZone) {
 	v := m.control.View()
 	reason := ""
