Let a resent order wait for the claim that is being given back

In its log the leader takes the claim of the first send within the 300 ms before it gives up its leadership; the send ends at its deadline, and the claim is to be given back. After the restart of the other control VMs the entry is committed at 11.117, the resend claims at 11.137 and finds the claim held, and the release comes up to 1 s later, after the pause of its retry.

Ruled out: a second run of the order (the target counts none), and the election (the leader was there).

Change: a claim waits until the records of its order that this VM has queued are taken. TestResendWaitsUntilAnUnconfirmedClaimIsGivenBack fails without it: the resend finds the claim. Through another VM a resend may still be told that the outcome is unknown, which is true as far as control knows.

--- a/internal/modules/claims/claims_test.go
+++ b/internal/modules/claims/claims_test.go
@@ -20,19 +20,25 @@
 
 var _ kernel.ClaimStore = (*Module)(nil)
 
-// fakeControl applies commands to a state. While err is set it fails, after applying when late is set.
+// fakeControl applies commands to a state. While err is set it fails, after applying when late is set. While held is set it
+// takes no releases.
 type fakeControl struct {
 	mu      sync.Mutex
 	state   *state.State
 	index   uint64
 	err     error
 	late    bool
+	held    bool
 	applied chan any
 }
 
 func (f *fakeControl) Propose(ctx context.Context, command kernel.Command) (kernel.CommandResult, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	_, release := command.(state.ReleaseClaim)
+	if release && f.held {
+		return nil, unreachable
+	}
 	if f.err != nil && !f.late {
 		return nil, f.err
 	}
@@ -54,6 +60,12 @@
 	f.err, f.late = err, late
 }
 
+func (f *fakeControl) hold(held bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.held = held
+}
+
 func start(t *testing.T) (*Module, *fakeControl) {
 	f := &fakeControl{state: state.New(), applied: make(chan any, 100)}
 	m := &Module{}
@@ -130,6 +142,27 @@
 	require.Equal(t, model.ClaimGranted, r.Decision)
 }
 
+// Guards against a resend that is told that the outcome is unknown, because the claim of a send that was not run is given back
+// a moment later.
+func TestResendWaitsUntilAnUnconfirmedClaimIsGivenBack(t *testing.T) {
+	m, f := start(t)
+	f.hold(true)
+	f.fail(errs.New(errs.KindUnknownOutcome, "read", "answer lost"), true)
+	req := request(t, "a1")
+	_, err := m.Claim(t.Context(), req)
+	require.Equal(t, errs.KindNotAccepted, errs.KindOf(err))
+	f.fail(nil, false)
+	req.Attempt = "a2"
+	short, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err = m.Claim(short, req)
+	require.Equal(t, errs.KindNotAccepted, errs.KindOf(err), "nothing is claimed before")
+	time.AfterFunc(20*time.Millisecond, func() { f.hold(false) })
+	r, err := m.Claim(t.Context(), req)
+	require.NoError(t, err)
+	require.Equal(t, model.ClaimGranted, r.Decision)
+}
+
 // Guards against a result that is lost because control could not be reached when the order ended.
 func TestFinishGoesOnInTheBackground(t *testing.T) {
 	m, f := start(t)
--- a/internal/modules/claims/module.go
+++ b/internal/modules/claims/module.go
@@ -88,11 +88,15 @@
 	return nil
 }
 
-// Claim implements kernel.ClaimStore.
+// Claim implements kernel.ClaimStore. It waits until what an earlier send through this VM left behind is recorded: the claim of
+// a send that was not run would otherwise be taken for one whose outcome is not known.
 func (m *Module) Claim(ctx context.Context, req kernel.ClaimRequest) (model.ClaimResult, error) {
 	if _, err := state.OrderKeyTime(req.Order.Key); err != nil {
 		return model.ClaimResult{}, err
 	}
+	if err := m.open.waitFor(ctx, req.Order); err != nil {
+		return model.ClaimResult{}, errs.Wrap(err, errs.KindNotAccepted, "send the order again with the same key", "an earlier send of the order is not recorded yet")
+	}
 	result, err := propose[model.ClaimResult](ctx, m.client, state.ClaimOrder{
 		Order: req.Order, Holder: req.Holder, Attempt: req.Attempt, Digest: req.Digest, Deadline: req.Deadline,
 	})
--- a/internal/modules/claims/retry.go
+++ b/internal/modules/claims/retry.go
@@ -71,13 +71,13 @@
 }
 
 func (m *Module) enqueue(p pending) bool {
-	if m.open.add(p.bytes()) {
+	if m.open.add(p.order, p.bytes()) {
 		select {
 		case m.queue <- p:
 			m.scope.Counter("queued").Inc(1)
 			return true
 		default:
-			m.open.remove(p.bytes())
+			m.open.remove(p.order, p.bytes())
 		}
 	}
 	m.scope.Counter("lost").Inc(1)
@@ -95,7 +95,7 @@
 			return
 		case p := <-m.queue:
 			m.persist(ctx, p)
-			m.open.remove(p.bytes())
+			m.open.remove(p.order, p.bytes())
 		}
 	}
 }
