Decide in the pure package which requests a cut-off VM refuses

Zones are looked through in one place, when the silent ones are asked for, and not in each choice of a leaf as well.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -322,7 +322,7 @@
 
 // enough reports whether the parts that are in make an answer.
 func (r *Run) enough() bool {
-	return r.answered > 0 && Covers(r.route, r.answered)
+	return r.answered > 0 && covers(r.route, r.answered)
 }
 
 // hopeless reports whether so many parts have failed that no answer can come of the request.
@@ -333,7 +333,7 @@
 			left++
 		}
 	}
-	return left == 0 || !Covers(r.route, left)
+	return left == 0 || !covers(r.route, left)
 }
 
 // Waiting lists the services that the request waits for because no leaf has room.
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -75,11 +75,11 @@
 	failuresAt time.Time
 	inRow      int
 	started    []startedAttempt
-	// unanswered is when the last attempt began that got no answer, or no connection.
-	unanswered time.Time
-	zone       model.AvailabilityZone
-	load       Load
-	loadAt     time.Time
+	// unansweredAt is when the last attempt began that got no answer, or no connection.
+	unansweredAt time.Time
+	zone         model.AvailabilityZone
+	load         Load
+	loadAt       time.Time
 	// shedUntil and ejectedUntil keep requests away for a while. ejections counts those without a success since.
 	shedUntil, ejectedUntil time.Time
 	ejections               int
@@ -146,7 +146,6 @@
 	var best, ejected *leaves.Member
 	var bestCost float64
 	usual := t.usual(route)
-	t.scanZones(now)
 	for _, m := range list {
 		if slices.ContainsFunc(tried, func(x *leaves.Member) bool { return x.ID == m.ID }) || connections.Room(m) <= 0 {
 			continue
@@ -239,7 +238,7 @@
 	}
 	silent := r == nil && end.Sent && end.Latency >= t.patience(route)
 	if silent || end.Refused {
-		s.unanswered = began
+		s.unansweredAt = began
 	}
 	switch {
 	case cancelled && r == nil && !silent:
--- a/internal/forward/zones.go
+++ b/internal/forward/zones.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -20,6 +21,9 @@
 	zoneConfirm = 100 * time.Millisecond
 	// zoneScan is how often the zones are looked at while there are requests.
 	zoneScan = 50 * time.Millisecond
+	// unreachablePause is when a caller may come back whose request needs shards that this VM does not reach. It has to reach
+	// another VM.
+	unreachablePause = 250 * time.Millisecond
 )
 
 // zoneStats is what this VM observes of an availability zone.
@@ -67,7 +71,7 @@
 
 // silentSince reports whether an attempt that began after a time has had no answer for long.
 func (s *leafStats) silentSince(now, t time.Time) bool {
-	return s.unanswered.After(t) || slices.ContainsFunc(s.started, func(a startedAttempt) bool {
+	return s.unansweredAt.After(t) || slices.ContainsFunc(s.started, func(a startedAttempt) bool {
 		return a.at.After(t) && now.Sub(a.at) >= a.patience
 	})
 }
@@ -92,17 +96,28 @@
 	*t.zone(zone) = zoneStats{replied: now}
 }
 
-// Reachable returns how many shards of a route have a leaf outside the silent availability zones.
-func Reachable(route *routes.Route, index *leaves.Index, silent []model.AvailabilityZone) (n int) {
+// Unreachable returns the response to a request whose route needs more shards than have a leaf outside the silent availability
+// zones, or nil. Nothing of the request is sent.
+func Unreachable(route *routes.Route, index *leaves.Index, silent []model.AvailabilityZone) *Response {
+	if len(silent) == 0 || !route.Gathers() || index == nil {
+		return nil
+	}
+	n := 0
 	for _, service := range route.Shards {
 		if slices.ContainsFunc(index.Services[service], func(m *leaves.Member) bool { return !slices.Contains(silent, m.AvailabilityZone) }) {
 			n++
 		}
 	}
-	return n
+	if covers(route, n) {
+		return nil
+	}
+	return &Response{
+		Kind: KindRefused, RetryAfter: unreachablePause, Elsewhere: true, Missing: len(route.Shards),
+		Reason: fmt.Sprintf("%d of %d shards are reachable, no leaf answers from %v", n, len(route.Shards), silent),
+	}
 }
 
-// Covers reports whether a number of shards is enough for an answer of the route.
-func Covers(route *routes.Route, shards int) bool {
+// covers reports whether a number of shards is enough for an answer of the route.
+func covers(route *routes.Route, shards int) bool {
 	return float64(shards) >= route.MinCoverage*float64(len(route.Shards))-coverageSlack
 }
--- a/internal/modules/forwarder/module.go
+++ b/internal/modules/forwarder/module.go
@@ -127,7 +127,7 @@
 	if route == nil {
 		return m.end(req, nil, &forward.Response{Kind: forward.KindNoRoute, Reason: "no route matches"})
 	}
-	if x := m.unreachable(view, route, m.silentZones(m.now())); x != nil {
+	if x := forward.Unreachable(route, view.Leaves, m.silentZones(m.now())); x != nil {
 		return m.end(req, nil, x)
 	}
 	r := &runner{module: m, ctx: ctx, req: req, route: route, version: view.Routes.Version, wakes: make(chan struct{}, 1)}
--- a/internal/modules/forwarder/zones.go
+++ b/internal/modules/forwarder/zones.go
@@ -12,7 +12,6 @@
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
-	"github.com/chestnuttiller/chestnuttiller/internal/routes"
 )
 
 const (
@@ -25,9 +24,6 @@
 	zoneProbe = 500 * time.Millisecond
 	// zoneProbeLeaves is how many leaves of a silent zone are tried at a time. One may be down, or accept no more connections.
 	zoneProbeLeaves = 3
-	// unreachablePause is when a caller may come back whose request needs shards that this VM does not reach. It has to reach
-	// another VM.
-	unreachablePause = 250 * time.Millisecond
 )
 
 // zoneWatch is what the module does about silent availability zones.
@@ -50,21 +46,6 @@
 	return silent
 }
 
-// unreachable returns the response to a request that needs more shards than this VM reaches, or nil. Nothing is sent.
-func (m *Module) unreachable(v *kernel.View, route *routes.Route, silent []model.AvailabilityZone) *forward.Response {
-	if !route.Gathers() || len(silent) == 0 || v.Leaves == nil {
-		return nil
-	}
-	n := forward.Reachable(route, v.Leaves, silent)
-	if forward.Covers(route, n) {
-		return nil
-	}
-	return &forward.Response{
-		Kind: forward.KindRefused, RetryAfter: unreachablePause, Elsewhere: true, Missing: len(route.Shards),
-		Reason: fmt.Sprintf("%d of %d shards are reachable, no leaf answers from %v", n, len(route.Shards), silent),
-	}
-}
-
 // probeZones tries to reach the silent zones until all answer. Meanwhile the VM is not ready if it reaches too few shards of
 // a route, so that callers connect to VMs of other zones.
 func (m *Module) probeZones() {
@@ -114,7 +95,7 @@
 	reason := ""
 	if v.Routes != nil {
 		for i := range v.Routes.Routes {
-			if x := m.unreachable(v, &v.Routes.Routes[i], silent); x != nil {
+			if x := forward.Unreachable(&v.Routes.Routes[i], v.Leaves, silent); x != nil {
 				reason = fmt.Sprintf("route %s: %s", v.Routes.Routes[i].Name, x.Reason)
 				break
 			}
