Tell a settled settings file by two looks in a row

The second look half an interval later, with a read of its own, is the next look now: content counts once it is new and the same as in the look before. A change is still taken within 2 s.

--- a/internal/cli/watch.go
+++ b/internal/cli/watch.go
@@ -8,26 +8,39 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
-
-	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 )
 
 // settingsInterval is how often the settings file is compared with what was read. A platform may change it without a
 // signal; seeds in it matter once a VM has lost touch with all others, which takes longer.
 const settingsInterval = time.Second
 
-// settlePart of the interval is how long a changed file has to stay the same before it is read again. A file that is
-// written in place is empty or cut off for a moment, and what is left of it may be valid settings.
-const settlePart = 0.5
+// stableContent tells when the content of a file has changed and stays the same. A file that is written in place is empty or cut
+// off for a moment, and what is left of it may be valid settings.
+type stableContent struct {
+	// taken is the content that was used last, and last the one of the last look.
+	taken, last []byte
+}
+
+// look takes the content of the file, and reports whether it is new and the same as in the look before.
+func (c *stableContent) look(now []byte) bool {
+	stable := bytes.Equal(now, c.last)
+	c.last = now
+	if !stable || bytes.Equal(now, c.taken) {
+		return false
+	}
+	c.taken = now
+	return true
+}
 
-// watchFile delivers a value when the content of a file has changed and stays the same, until the context ends. While the file
-// cannot be read, nothing is delivered. Changes that are not taken are merged into one.
+// watchFile delivers a value when the content of a file has changed and is the same in two looks, until the context ends. While
+// the file cannot be read, nothing is delivered. Changes that are not taken are merged into one.
 func watchFile(ctx context.Context, path string, interval time.Duration, logger log.Logger) <-chan struct{} {
 	changed := make(chan struct{}, 1)
 	before, err := os.ReadFile(path)
 	go func() {
 		t := time.NewTicker(interval)
 		defer t.Stop()
+		content := stableContent{taken: before, last: before}
 		for {
 			select {
 			case <-ctx.Done():
@@ -42,17 +55,9 @@
 				}
 				continue
 			}
-			if bytes.Equal(now, before) {
-				continue
-			}
-			if kernel.Wait(ctx, time.Duration(settlePart*float64(interval))) != nil {
-				return
-			}
-			// The next look tells of a file that cannot be read, or differs, because it is being written.
-			if again, err := os.ReadFile(path); err != nil || !bytes.Equal(again, now) {
+			if !content.look(now) {
 				continue
 			}
-			before = now
 			select {
 			case changed <- struct{}{}:
 			default: // A change is waiting already.
