--- a/internal/dissemination/node.go
+++ b/internal/dissemination/node.go
@@ -15,7 +15,6 @@
 
 	"github.com/chestnuttiller/chestnuttiller/internal/errs"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
-	"github.com/chestnuttiller/chestnuttiller/internal/rendezvous"
 	"github.com/chestnuttiller/chestnuttiller/internal/state"
 )
 
@@ -110,17 +109,6 @@
 	Around []Peer
 }
 
-// upstream is a VM that this one subscribes to.
-type upstream struct {
-	primary bool
-	// pending says that a call is under way, subscribed that the last one succeeded.
-	pending    bool
-	subscribed bool
-	heardAt    time.Time
-	// behindSince is when the upstream first confirmed a state that this VM lacks; zero when it lacks nothing.
-	behindSince time.Time
-}
-
 // Node is the state of one VM. It is owned by one goroutine.
 type Node struct {
 	config      Config
@@ -339,14 +327,6 @@
 	}
 }
 
-func (n *Node) subscribe(to model.VMName, u *upstream, revision, digest uint64) {
-	if u.pending {
-		return
-	}
-	u.pending = true
-	n.effects.Subscribes = append(n.effects.Subscribes, SubscribeCall{To: to, Subscribe: Subscribe{Revision: revision, Digest: digest, Primary: u.primary}})
-}
-
 // Tick renews subscriptions, leaves silent upstreams and confirms this VM's state to its subscribers. It is
 // called once in each Config.Interval.
 func (n *Node) Tick(now time.Time) {
@@ -364,111 +344,3 @@
 	}
 	n.tickBootstrap(now)
 }
-
-// chooseUpstreams subscribes to the VMs that this one should follow, and leaves the others. The first choice that
-// is heard becomes the primary.
-func (n *Node) chooseUpstreams(now time.Time) {
-	if n.config.Control && !n.config.Entry {
-		return
-	}
-	want := n.wantedUpstreams(now)
-	for vm := range n.upstreams {
-		if !slices.Contains(want, vm) {
-			delete(n.upstreams, vm)
-			n.effects.Unsubscribes = append(n.effects.Unsubscribes, vm)
-		}
-	}
-	primary := n.primaryOf(now, want)
-	for _, vm := range want {
-		u := n.upstreams[vm]
-		if u == nil {
-			u = &upstream{heardAt: now, primary: vm == primary}
-			n.upstreams[vm] = u
-			n.subscribe(vm, u, n.shared.Revision, n.shared.Digest())
-			continue
-		}
-		if u.primary != (vm == primary) {
-			u.primary = vm == primary
-			n.subscribe(vm, u, n.shared.Revision, n.shared.Digest())
-		}
-	}
-}
-
-// primaryOf returns the first choice that is not silent, or the first choice.
-func (n *Node) primaryOf(now time.Time, want []model.VMName) model.VMName {
-	for _, vm := range want {
-		if u := n.upstreams[vm]; u == nil || now.Sub(u.heardAt) < 3*n.config.Interval {
-			return vm
-		}
-	}
-	if len(want) > 0 {
-		return want[0]
-	}
-	return ""
-}
-
-// wantedUpstreams returns the upstreams of this VM, the best first. Relays prefer control VMs, since two relays
-// that follow each other would both wait. Equal ones are ordered by this VM's name, which spreads the load.
-func (n *Node) wantedUpstreams(now time.Time) []model.VMName {
-	relays, control := n.zoneRelays(n.config.Zone), n.controlVMs()
-	var want []model.VMName
-	add := func(vms []model.VMName, most int) {
-		for _, vm := range rendezvous.Top(string(n.config.Self), vms, most) {
-			if vm != n.config.Self && !slices.Contains(want, vm) {
-				want = append(want, vm)
-			}
-		}
-	}
-	if n.config.Control || slices.Contains(relays, n.config.Self) {
-		add(control, len(control))
-		if len(control) == 0 {
-			add(n.otherRelays(), len(n.peers))
-		}
-	}
-	add(relays, len(relays))
-	if n.contactAge(now) > StaleAfter {
-		n.detourUntil = now.Add(detourTime)
-	}
-	if now.Before(n.detourUntil) {
-		add(control, 1)
-		add(n.otherRelays(), 1)
-	}
-	return want
-}
-
-func (n *Node) controlVMs() []model.VMName {
-	var out []model.VMName
-	for _, p := range n.peers {
-		if p.Control {
-			out = append(out, p.VM)
-		}
-	}
-	return out
-}
-
-// zoneRelays returns the relays of a zone among the VMs that can be reached and this one.
-func (n *Node) zoneRelays(zone model.AvailabilityZone) []model.VMName {
-	var vms []model.VMName
-	for _, p := range n.peers {
-		if p.Zone == zone && p.Entry {
-			vms = append(vms, p.VM)
-		}
-	}
-	if zone == n.config.Zone && n.config.Entry {
-		vms = append(vms, n.config.Self)
-	}
-	return rendezvous.Top("state "+string(zone), vms, RelaysPerZone)
-}
-
-// otherRelays returns the relays of all other zones.
-func (n *Node) otherRelays() []model.VMName {
-	seen := map[model.AvailabilityZone]bool{n.config.Zone: true}
-	var out []model.VMName
-	for _, p := range n.peers {
-		if !seen[p.Zone] {
-			seen[p.Zone] = true
-			out = append(out, n.zoneRelays(p.Zone)...)
-		}
-	}
-	return out
-}
--- a/internal/modules/claims/backlog.go
+++ b/internal/modules/claims/backlog.go
@@ -71,12 +71,7 @@
 	if u == nil {
 		return nil
 	}
-	select {
-	case <-u.recorded:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return await(ctx, u.recorded)
 }
 
 // wait returns once nothing is queued, or with the error of the context.
@@ -91,8 +86,12 @@
 	}
 	idle := b.idle
 	b.mu.Unlock()
+	return await(ctx, idle)
+}
+
+func await(ctx context.Context, done <-chan struct{}) error {
 	select {
-	case <-idle:
+	case <-done:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
--- a/internal/modules/membership/module.go
+++ b/internal/modules/membership/module.go
@@ -178,7 +178,7 @@
 		m.peers.Handle(kindWatch, m.answer)
 		m.cache = newCache(fsys.OS{}, s.DataFolder, m.logger)
 	}
-	m.peers.OnChange(func(kernel.PeerStatus) { _ = m.control.PostWait(m.run, peersEvent{}) })
+	m.peers.OnChange(func(kernel.PeerStatus) { _ = m.control.PostWait(m.run, peersEvent{}) }) // It fails only once the process ends.
 	return nil
 }
 
@@ -188,7 +188,7 @@
 	if m.cache != nil {
 		var err error
 		if known, err = m.cache.load(); err != nil {
-			_ = level.Warn(m.logger).Log("msg", "what is on disk of leaves and entry VMs is not used", "err", err)
+			_ = level.Warn(m.logger).Log("msg", "the copy of the leaves on disk is not used", "err", err)
 		}
 		go m.cache.run(m.run)
 	}
