--- a/internal/modules/transport/transport_test.go
+++ b/internal/modules/transport/transport_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
@@ -274,6 +275,7 @@
 	require.NoError(t, err)
 	defer l.Close()
 	var open, highest atomic.Int64
+	seen, release := make(chan struct{}), make(chan struct{})
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -283,7 +285,8 @@
 			highest.Store(max(highest.Load(), open.Add(1)))
 			go func() {
 				_, _ = io.Copy(io.Discard, c) // The end of the connection is what it waits for.
-				time.Sleep(100 * time.Millisecond)
+				seen <- struct{}{}
+				<-release
 				open.Add(-1)
 				_ = c.Close()
 			}()
@@ -291,12 +294,26 @@
 	}()
 	p := newPool(newModule(), l.Addr().String(), 1)
 	defer p.close()
-	for range 3 {
+	dial := func() net.Conn {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
 		c, err := p.dial(ctx, "", "")
-		cancel()
-		require.NoError(t, err)
+		assert.NoError(t, err)
+		return c
+	}
+	c := dial()
+	for range 3 {
 		require.NoError(t, c.Close())
+		<-seen
+		next := make(chan net.Conn, 1)
+		go func() { next <- dial() }()
+		require.Never(t, func() bool { return len(next) > 0 }, 100*time.Millisecond, 5*time.Millisecond)
+		release <- struct{}{}
+		c = <-next
+		require.NotNil(t, c)
 	}
+	require.NoError(t, c.Close())
+	<-seen
+	release <- struct{}{}
 	require.EqualValues(t, 1, highest.Load())
 }
