Give the reason wherever a result is dropped

Most are closes of connections that are of no use any more, answers to callers that may have left, events to a control goroutine that has ended, and writes to a hash, which cannot fail. Each says so now. No statement changed.

--- a/internal/bench/balancer.go
+++ b/internal/bench/balancer.go
@@ -72,7 +72,7 @@
 		vm.ready.Store(false)
 		return
 	}
-	_ = res.Body.Close()
+	_ = res.Body.Close() // The status is what counts.
 	vm.ready.Store(res.StatusCode == http.StatusOK)
 }
 
--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -310,9 +310,9 @@
 	defer cancel()
 	for i := len(c.vms) - 1; i >= 0; i-- {
 		if k := c.vms[i].kernel; k != nil {
-			_ = k.Drain(ctx)
-			_ = k.Stop(ctx)
+			_ = k.Drain(ctx) // The figures are taken already.
+			_ = k.Stop(ctx)  // The figures are taken already.
 		}
 	}
-	_ = os.RemoveAll(c.folder)
+	_ = os.RemoveAll(c.folder) // The folder is temporary.
 }
--- a/internal/bench/demo.go
+++ b/internal/bench/demo.go
@@ -292,7 +292,7 @@
 			fmt.Fprintf(w, "%s\t%s\t%d\t%.1f\t%.1f\t%.1f\t%.4f\t%.3f\t%.2f%%\t%.2f%%\t%d\t%s\t\n", s.Name, s.Priority, s.Sent, s.P50MS, s.P99MS, s.P999MS,
 				s.Coverage, s.LeastCoverage, 100*s.GoodShare, 100*s.ExtraLoad, s.CutOff, outcomesText(s.Outcomes))
 		}
-		_ = w.Flush()
+		_ = w.Flush() // Nobody reads an output that is closed.
 		for _, v := range r.Violations {
 			fmt.Fprintln(out, "violation:", v)
 		}
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -245,7 +245,7 @@
 // count adds one result. The lock is held.
 func (r *Running) count(out *StreamReport, req *Request, result *Result, latency time.Duration) {
 	out.Sent++
-	_ = out.Latency.RecordValue(latency.Microseconds())
+	_ = out.Latency.RecordValue(latency.Microseconds()) // Latencies are bounded by the deadlines.
 	if result.Err != nil {
 		if result.Unsent {
 			out.Unsent++
@@ -264,7 +264,7 @@
 	out.Dropped += a.Stats.Dropped
 	switch outcome {
 	case model.OutcomeComplete, model.OutcomePartial:
-		_ = out.Answered.RecordValue(latency.Microseconds())
+		_ = out.Answered.RecordValue(latency.Microseconds()) // Latencies are bounded by the deadlines.
 		out.Answers++
 		out.Coverage += a.Coverage
 		out.LeastCoverage = min(out.LeastCoverage, a.Coverage)
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -53,7 +53,7 @@
 		return errs.Wrap(err, errs.KindInvalid, "see `"+cmd.CommandPath()+" --help`", "bad arguments")
 	})
 	root.PersistentFlags().VarP(out, "output", "o", "form of the output: text or json")
-	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{outputText, outputJSON}, cobra.ShellCompDirectiveNoFileComp))
+	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{outputText, outputJSON}, cobra.ShellCompDirectiveNoFileComp)) // It fails only for a flag that does not exist.
 	root.AddCommand(newRun(), newVersion())
 	root.AddCommand(newCheck(out), newApply(out), newStatus(out), newHistory(out), newTargets(out), newQuery(out), newControl(out))
 	root.AddCommand(newDemo(out), newTarget())
--- a/internal/cli/inspect.go
+++ b/internal/cli/inspect.go
@@ -49,7 +49,7 @@
 		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\t%s\t%s\n", vm.Name, vm.AvailabilityZone, strings.Join(vm.Roles, ","),
 			vm.ConfigRevision, ageText(vm), seatText(vm), status)
 	}
-	_ = t.Flush()
+	_ = t.Flush() // Nobody reads an output that is closed.
 }
 
 // ageText tells how old the state of a VM is. Control VMs hold the state itself.
@@ -162,5 +162,5 @@
 		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d\t%v\t%v\t%d\t%d+%d\n", x.Service, x.ID, x.AvailabilityZone, x.Address, x.State,
 			x.Layout, x.Shards, x.IndexVersions, x.Slots, x.InFlight, x.Queued)
 	}
-	_ = t.Flush()
+	_ = t.Flush() // Nobody reads an output that is closed.
 }
--- a/internal/cli/output.go
+++ b/internal/cli/output.go
@@ -53,7 +53,7 @@
 		fmt.Fprintln(w, "chestnuttiller:", err)
 		return
 	}
-	_ = json.NewEncoder(w).Encode(operatorapi.EncodeError(err))
+	_ = json.NewEncoder(w).Encode(operatorapi.EncodeError(err)) // The exit code tells of the failure.
 }
 
 // noArgs is cobra.NoArgs with a typed error, so that the exit code is that of invalid input.
--- a/internal/consensus/members.go
+++ b/internal/consensus/members.go
@@ -138,7 +138,7 @@
 		return
 	}
 	if c, ok := n.nextChange(); ok {
-		_, _ = n.ProposeChange(time.Unix(0, n.now), c)
+		_, _ = n.ProposeChange(time.Unix(0, n.now), c) // A change that cannot be made now is tried again.
 	}
 }
 
--- a/internal/fsys/fsys.go
+++ b/internal/fsys/fsys.go
@@ -111,7 +111,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer func() { _ = f.Close() }()
+	defer func() { _ = f.Close() }() // It was only read.
 	size, err := f.Size()
 	if err != nil {
 		return nil, err
@@ -146,11 +146,11 @@
 		return err
 	}
 	if _, err := f.WriteAt(data, 0); err != nil {
-		_ = f.Close()
+		_ = f.Close() // The first error counts.
 		return err
 	}
 	if err := f.Sync(); err != nil {
-		_ = f.Close()
+		_ = f.Close() // The first error counts.
 		return err
 	}
 	return f.Close()
--- a/internal/fsys/lock_unix.go
+++ b/internal/fsys/lock_unix.go
@@ -19,8 +19,8 @@
 		return nil, err
 	}
 	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		_ = f.Close()
+		_ = f.Close() // The first error counts.
 		return nil, err
 	}
-	return func() { _ = f.Close() }, nil
+	return func() { _ = f.Close() }, nil // The lock ends with the process at the latest.
 }
--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -149,8 +149,8 @@
 	binary.LittleEndian.PutUint64(b[16:], s.Digest)
 	var d xxhash.Digest
 	d.Reset()
-	_, _ = d.Write(b[:])
-	_, _ = d.WriteString(string(vm))
+	_, _ = d.Write(b[:])             // A hash never fails.
+	_, _ = d.WriteString(string(vm)) // A hash never fails.
 	return d.Sum64()
 }
 
--- a/internal/kernel/control.go
+++ b/internal/kernel/control.go
@@ -122,7 +122,7 @@
 // After posts an event once the delay has passed. The returned function cancels it. The timer waits for room
 // in the queue on its own goroutine, so that a periodic event is never lost to a full queue.
 func (c *Control) After(delay time.Duration, ev Event) (cancel func()) {
-	t := time.AfterFunc(delay, func() { _ = c.PostWait(context.Background(), ev) })
+	t := time.AfterFunc(delay, func() { _ = c.PostWait(context.Background(), ev) }) // It fails only once the process ends.
 	return func() { t.Stop() }
 }
 
--- a/internal/model/snapshot.go
+++ b/internal/model/snapshot.go
@@ -44,7 +44,7 @@
 	for _, s := range l.Shards {
 		binary.LittleEndian.PutUint32(b[:4], uint32(s.ID))
 		binary.LittleEndian.PutUint64(b[4:], math.Float64bits(s.Share))
-		_, _ = d.Write(b[:])
+		_, _ = d.Write(b[:]) // A hash never fails.
 	}
 	return d.Sum64()
 }
--- a/internal/modules/announce/module.go
+++ b/internal/modules/announce/module.go
@@ -171,5 +171,5 @@
 	m.scope.Counter("refused").Inc(1)
 	kind := errs.KindOf(err)
 	_ = level.Debug(m.log).Log("msg", "announcement refused", "from", c.RealIP(), "kind", kind, "err", err)
-	_ = c.JSON(httperr.StatusOf(kind), httperr.Encode(err))
+	_ = c.JSON(httperr.StatusOf(kind), httperr.Encode(err)) // The target may have left.
 }
--- a/internal/modules/directory/gossip.go
+++ b/internal/modules/directory/gossip.go
@@ -86,7 +86,7 @@
 		t.Handle(kindMessage, x.handleMessage)
 		t.Handle(kindTable, x.handleTable)
 		t.Handle(kindVector, x.handleVector)
-		t.OnChange(func(kernel.PeerStatus) { _ = ctx.Control.PostWait(context.Background(), peersEvent{}) })
+		t.OnChange(func(kernel.PeerStatus) { _ = ctx.Control.PostWait(context.Background(), peersEvent{}) }) // It fails only once the process ends.
 	}
 	return x
 }
@@ -286,7 +286,7 @@
 	go func() {
 		ev := tableEvent{origin: p.Origin}
 		ev.stamp, ev.records, ev.err = x.fetchTable(run, p)
-		_ = x.module.control.PostWait(run, ev)
+		_ = x.module.control.PostWait(run, ev) // It fails only once the process ends.
 	}()
 }
 
@@ -349,7 +349,7 @@
 	go func() {
 		ev := vectorEvent{from: p.From, scope: p.Scope}
 		ev.entries, ev.err = x.fetchVector(run, p)
-		_ = x.module.control.PostWait(run, ev)
+		_ = x.module.control.PostWait(run, ev) // It fails only once the process ends.
 	}()
 }
 
--- a/internal/modules/directory/module.go
+++ b/internal/modules/directory/module.go
@@ -109,6 +109,7 @@
 	m.leases = directory.New(ctx.Settings.Int(section, "max_targets"))
 	m.view = &kernel.Directory{Services: map[model.ServiceName]*kernel.ServiceDirectory{}}
 	m.proposed = map[proposalKey]*proposalState{}
+	// Layouts are proposed only where there is a control group.
 	m.proposer, _ = kernel.Lookup[LayoutProposer](ctx)
 	m.run = context.Background()
 	m.self, m.zone, m.responsible = ctx.VM.VM, ctx.AvailabilityZone, ctx.Settings.Int(section, "responsible")
--- a/internal/modules/directory/proposals.go
+++ b/internal/modules/directory/proposals.go
@@ -75,7 +75,7 @@
 		ctx, cancel := context.WithTimeout(run, proposeTimeout)
 		defer cancel()
 		err := m.proposer.ProposeLayout(ctx, layout)
-		_ = m.control.PostWait(run, proposedEvent{key: k, err: err})
+		_ = m.control.PostWait(run, proposedEvent{key: k, err: err}) // It fails only once the process ends.
 	}()
 }
 
--- a/internal/modules/dissemination/exchange.go
+++ b/internal/modules/dissemination/exchange.go
@@ -72,7 +72,7 @@
 	t.Handle(kindSubscribe, x.onSubscribe)
 	t.Handle(kindUnsubscribe, x.onUnsubscribe)
 	t.Handle(kindProbe, x.onProbe)
-	t.OnChange(func(kernel.PeerStatus) { _ = m.control.PostWait(context.Background(), peersEvent{}) })
+	t.OnChange(func(kernel.PeerStatus) { _ = m.control.PostWait(context.Background(), peersEvent{}) }) // It fails only once the process ends.
 	return x
 }
 
@@ -214,7 +214,7 @@
 		if ev.err == nil {
 			ev.answer, ev.err = decodeAnswer(data)
 		}
-		_ = x.module.control.PostWait(run, ev)
+		_ = x.module.control.PostWait(run, ev) // It fails only once the process ends.
 	}()
 }
 
@@ -226,7 +226,7 @@
 		if data, ev.err = x.call(run, vm, kindProbe, nil); ev.err == nil {
 			ev.confirmation, ev.err = decodeConfirmation(data)
 		}
-		_ = x.module.control.PostWait(run, ev)
+		_ = x.module.control.PostWait(run, ev) // It fails only once the process ends.
 	}()
 }
 
--- a/internal/modules/dissemination/local.go
+++ b/internal/modules/dissemination/local.go
@@ -56,6 +56,7 @@
 		config: c, site: c.SiteOf(ctx.AvailabilityZone), seat: seat, revision: 1,
 		layouts: map[model.ServiceName]map[model.LayoutNumber]*model.Layout{},
 	}
+	// A VM without peers has no transport.
 	s.transport, _ = kernel.Lookup[kernel.PeerTransport](ctx)
 	return s, nil
 }
--- a/internal/modules/dissemination/module.go
+++ b/internal/modules/dissemination/module.go
@@ -94,6 +94,7 @@
 		}
 		return err
 	}
+	// Each of these is missing where the settings leave its module out.
 	m.client, _ = kernel.Lookup[kernel.ControlClient](ctx)
 	m.source, _ = kernel.Lookup[kernel.StateSource](ctx)
 	m.replica, _ = kernel.Lookup[kernel.ControlLog](ctx)
--- a/internal/modules/dissemination/seats.go
+++ b/internal/modules/dissemination/seats.go
@@ -99,7 +99,7 @@
 			err = errs.New(errs.KindInternal, "report this fault", "the result of a seat is a %T", result)
 		}
 		ev.result, ev.err = r, err
-		_ = s.module.control.PostWait(run, ev)
+		_ = s.module.control.PostWait(run, ev) // It fails only once the process ends.
 	}()
 }
 
--- a/internal/modules/frontend/handlers.go
+++ b/internal/modules/frontend/handlers.go
@@ -178,5 +178,5 @@
 		c.Response().Header().Set(callerapi.HeaderOutcome, string(model.OutcomeNotRun))
 	}
 	m.scope.Tagged(map[string]string{"kind": body.Kind}).Counter("turned_away").Inc(1)
-	_ = c.JSON(status, body)
+	_ = c.JSON(status, body) // The caller may have left.
 }
--- a/internal/modules/loadtracker/latency.go
+++ b/internal/modules/loadtracker/latency.go
@@ -183,7 +183,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.rotate(now)
-	_ = w.current.RecordValue(min(max(d.Microseconds(), 1), maxLatency))
+	_ = w.current.RecordValue(min(max(d.Microseconds(), 1), maxLatency)) // The value is within the range.
 }
 
 func (w *window) rotate(now time.Time) {
--- a/internal/modules/log/log.go
+++ b/internal/modules/log/log.go
@@ -144,13 +144,13 @@
 
 func (w *asyncWriter) write(line []byte) {
 	w.reportDropped()
-	_, _ = w.out.Write(line)
+	_, _ = w.out.Write(line) // There is no other place to report it.
 }
 
 // reportDropped writes how many lines were dropped since it did so last.
 func (w *asyncWriter) reportDropped() {
 	if n := w.dropped.Swap(0); n > 0 {
-		_, _ = io.WriteString(w.out, "level=warn part=log msg=\"lines were dropped because the buffer was full\" count="+strconv.FormatUint(n, 10)+"\n")
+		_, _ = io.WriteString(w.out, "level=warn part=log msg=\"lines were dropped because the buffer was full\" count="+strconv.FormatUint(n, 10)+"\n") // As above.
 	}
 }
 
--- a/internal/modules/operator/module.go
+++ b/internal/modules/operator/module.go
@@ -76,6 +76,7 @@
 func (m *Module) Provision(ctx *kernel.Context) error {
 	m.settings, m.vm, m.control, m.readiness, m.now = ctx.Settings, ctx.VM, ctx.Control, ctx.Readiness, ctx.Now
 	m.logger, m.listen = ctx.Logger("operator"), ctx.Settings.String(section, "listen")
+	// Each of these is missing where the settings leave its module out.
 	m.client, _ = kernel.Lookup[kernel.ControlClient](ctx)
 	m.peers, _ = kernel.Lookup[kernel.PeerTransport](ctx)
 	m.replica, _ = kernel.Lookup[kernel.ControlLog](ctx)
@@ -202,7 +203,7 @@
 		body.Remedy = "see the log of this VM"
 	}
 	_ = level.Info(m.logger).Log("msg", "call of an operator failed", "path", c.Path(), "kind", body.Kind, "err", err)
-	_ = c.JSON(status, body)
+	_ = c.JSON(status, body) // The caller may have left.
 }
 
 // read asks the control group.
--- a/internal/modules/peer/incoming.go
+++ b/internal/modules/peer/incoming.go
@@ -100,7 +100,7 @@
 			})
 		default:
 			_ = level.Warn(m.log).Log("msg", "connection refused because too many are open; remedy: raise [peer_transport] max_connections", "from", conn.RemoteAddr())
-			_ = conn.Close()
+			_ = conn.Close() // It is of no further use.
 		}
 	}
 }
@@ -109,11 +109,11 @@
 	logger := log.With(m.log, "from", conn.RemoteAddr())
 	session, err := yamux.Server(conn, m.yamuxConfig())
 	if err != nil {
-		_ = conn.Close()
+		_ = conn.Close() // It is of no further use.
 		return
 	}
 	defer session.Close()
-	defer context.AfterFunc(m.run, func() { _ = session.Close() })()
+	defer context.AfterFunc(m.run, func() { _ = session.Close() })() // It may have ended before.
 	defer m.incoming.remove(session)
 	hello, err := m.welcome(session)
 	if err != nil {
@@ -178,7 +178,7 @@
 			defer stream.Close()
 			if err := m.serveStream(ctx, stream, from, logger); err != nil && brokenProtocol(err) {
 				_ = level.Error(logger).Log("msg", "connection closed because of a bad frame", "err", err)
-				_ = session.Close()
+				_ = session.Close() // It is of no further use.
 			}
 		}()
 	}
@@ -243,7 +243,7 @@
 	if err := writeMessage(stream, reply, m.opts.maxFrame); err != nil && errs.KindOf(err) == errs.KindTooLarge {
 		// The message was handled, so the reply must not read as if it had not been.
 		failed := errs.Wrap(err, errs.KindUnknownOutcome, errs.RemedyOf(err), "the reply is too large")
-		_ = writeMessage(stream, &peerpb.Reply{Error: encodeError(failed)}, m.opts.maxFrame)
+		_ = writeMessage(stream, &peerpb.Reply{Error: encodeError(failed)}, m.opts.maxFrame) // A caller that is gone counts the outcome as unknown as well.
 	}
 	return nil
 }
--- a/internal/modules/peer/module.go
+++ b/internal/modules/peer/module.go
@@ -207,7 +207,7 @@
 		return nil
 	}
 	m.cancel()
-	_ = m.listener.Close()
+	_ = m.listener.Close() // It accepts nothing more either way.
 	done := make(chan struct{})
 	go func() {
 		m.tasks.Wait()
--- a/internal/modules/peer/outgoing.go
+++ b/internal/modules/peer/outgoing.go
@@ -87,12 +87,12 @@
 	}
 	session, err := yamux.Client(conn, p.module.yamuxConfig())
 	if err != nil {
-		_ = conn.Close()
+		_ = conn.Close() // The first error counts.
 		return nil, err
 	}
 	hello, err := p.greet(ctx, session)
 	if err != nil {
-		_ = session.Close()
+		_ = session.Close() // The first error counts.
 		return nil, err
 	}
 	return &link{
@@ -124,7 +124,7 @@
 
 // interruptOn makes reads and writes of the stream fail once ctx is done.
 func interruptOn(ctx context.Context, stream *yamux.Stream) (release func() bool) {
-	return context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+	return context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) }) // A stream that has ended needs none.
 }
 
 // serve publishes the connection and carries its queue until it ends.
@@ -137,11 +137,11 @@
 	var err error
 	select {
 	case err = <-sent:
-		_ = l.session.Close()
+		_ = l.session.Close() // It is of no further use.
 	case <-l.session.CloseChan():
 		err = <-sent
 	case <-p.module.run.Done():
-		_ = l.session.Close()
+		_ = l.session.Close() // It is of no further use.
 		err = <-sent
 	}
 	p.link.Store(nil)
@@ -249,7 +249,7 @@
 	}
 	if brokenProtocol(err) {
 		_ = level.Error(p.log).Log("msg", "connection closed because of a bad frame", "kind", msg.Kind, "err", err)
-		_ = l.session.Close()
+		_ = l.session.Close() // It is of no further use.
 	}
 	return nil, errs.Wrap(err, errs.KindUnknownOutcome, "ask whether the message took effect before it is sent again", "no reply of VM %q to message %s", p.config.Name, msg.Kind)
 }
--- a/internal/modules/statemachine/statemachine.go
+++ b/internal/modules/statemachine/statemachine.go
@@ -138,6 +138,7 @@
 func (m *Module) encodeAnswer(answer any) []byte {
 	data, err := statecodec.EncodeAnswer(answer)
 	if err != nil {
+		// A rejection holds a text only, which always encodes.
 		data, _ = statecodec.EncodeAnswer(state.Rejected{Reason: err.Error()})
 	}
 	return data
--- a/internal/modules/transport/attempt.go
+++ b/internal/modules/transport/attempt.go
@@ -34,7 +34,7 @@
 	reply := readReply(ctx, resp, req, maxReply)
 	// A refusal has a short body that nobody reads. Reading it keeps the connection warm.
 	_, _ = io.CopyN(io.Discard, resp.Body, maxDiscardBytes)
-	_ = resp.Body.Close()
+	_ = resp.Body.Close() // The reply is read.
 	p.shrink()
 	return reply
 }
--- a/internal/modules/transport/pool.go
+++ b/internal/modules/transport/pool.go
@@ -84,7 +84,7 @@
 	p.spares = nil
 	p.mu.Unlock()
 	for _, x := range spares {
-		_ = x.conn.Close()
+		_ = x.conn.Close() // It is idle, so nothing is lost.
 	}
 }
 
@@ -121,7 +121,7 @@
 	}
 	p.mu.Unlock()
 	if !keep {
-		_ = c.Close()
+		_ = c.Close() // It is idle, so nothing is lost.
 	}
 }
 
@@ -214,7 +214,7 @@
 	go func() {
 		// Bytes that still arrive belong to no attempt. The copy ends with the connection or at the limit.
 		_, _ = io.Copy(io.Discard, c.Conn)
-		_ = c.Conn.Close()
+		_ = c.Conn.Close() // The other side has closed it, or sends too much.
 		time.AfterFunc(closeGrace, c.free)
 	}()
 	return nil
--- a/internal/modules/transport/spare.go
+++ b/internal/modules/transport/spare.go
@@ -35,7 +35,7 @@
 
 // take ends the watch and reports whether the connection can be used.
 func (x *spare) take() bool {
-	_ = x.conn.SetReadDeadline(time.Unix(1, 0))
+	_ = x.conn.SetReadDeadline(time.Unix(1, 0)) // A closed connection ends the read as well.
 	<-x.read
 	if !x.idle() || x.conn.SetReadDeadline(time.Time{}) != nil {
 		x.discard()
@@ -46,5 +46,5 @@
 
 func (x *spare) discard() {
 	x.conn.refused.Store(true)
-	_ = x.conn.Close()
+	_ = x.conn.Close() // It is of no further use.
 }
--- a/internal/peertest/peertest.go
+++ b/internal/peertest/peertest.go
@@ -196,7 +196,7 @@
 			return
 		case d := <-t.inbox:
 			if h := t.handlers[d.message.Kind]; h != nil {
-				_, _ = h(run, d.from, d.message.Payload)
+				_, _ = h(run, d.from, d.message.Payload) // A message that is sent has no answer.
 			}
 		}
 	}
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -34,8 +34,8 @@
 func score(key string, vm model.VMName) uint64 {
 	var d xxhash.Digest
 	d.Reset()
-	_, _ = d.WriteString(key)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(string(vm))
+	_, _ = d.WriteString(key)        // A hash never fails.
+	_, _ = d.Write([]byte{0})        // A hash never fails.
+	_, _ = d.WriteString(string(vm)) // A hash never fails.
 	return d.Sum64()
 }
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -109,5 +109,5 @@
 
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
+	_ = json.NewEncoder(w).Encode(v) // The test may have left.
 }
--- a/internal/standin/handler.go
+++ b/internal/standin/handler.go
@@ -229,7 +229,7 @@
 		t.writeRaw(w, plan.Form, h, out.body)
 		return
 	}
-	_, _ = w.Write(out.body)
+	_, _ = w.Write(out.body) // The caller may have left.
 }
 
 func (t *Target) setHeaders(h http.Header, out reply) {
@@ -251,7 +251,7 @@
 	defer conn.Close()
 	var out bytes.Buffer
 	out.WriteString("HTTP/1.1 200 OK\r\n")
-	_ = h.Write(&out)
+	_ = h.Write(&out) // A buffer never fails.
 	out.WriteString("\r\n")
 	if form == FormTruncated {
 		out.Write(body[:len(body)/2])
@@ -259,8 +259,8 @@
 		out.Write(body)
 		out.Write(bytes.Clone(out.Bytes()))
 	}
-	_, _ = buf.Write(out.Bytes())
-	_ = buf.Flush()
+	_, _ = buf.Write(out.Bytes()) // The caller may have left.
+	_ = buf.Flush()               // The caller may have left.
 	if form == FormTruncated {
 		return
 	}
--- a/internal/standin/listener.go
+++ b/internal/standin/listener.go
@@ -56,9 +56,9 @@
 // reset closes a connection with a reset, so that the caller sees the refusal at once.
 func reset(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
-		_ = t.SetLinger(0)
+		_ = t.SetLinger(0) // Without it the close is a usual one.
 	}
-	_ = c.Close()
+	_ = c.Close() // It is of no further use.
 }
 
 // limitedConn is a counted connection. It holds back its first bytes for the time that setting up a connection
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -107,18 +107,18 @@
 	t.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DialContext: own.DialContext}}
 	t.server = &http.Server{Handler: t.shardHandler()}
 	limited := &limitListener{Listener: l, limit: t.cfg.ConnectionLimit, connectTime: t.cfg.ConnectTime, ledger: t.ledger, gate: t.gate, distance: t.cfg.Distance}
-	go func() { _ = t.server.Serve(limited) }()
+	go func() { _ = t.server.Serve(limited) }() // It returns when the target stops.
 	if t.cfg.Control == "" {
 		return nil
 	}
 	c, err := net.Listen("tcp", t.cfg.Control)
 	if err != nil {
-		_ = t.server.Close()
+		_ = t.server.Close() // Its connections are cut in any case.
 		return errs.Wrap(err, errs.KindInvalid, "name a free address", "stand-in target %s cannot listen for control", t.cfg.ID)
 	}
 	t.ctrlAddr = c.Addr().String()
 	t.control = &http.Server{Handler: t.controlHandler()}
-	go func() { _ = t.control.Serve(c) }()
+	go func() { _ = t.control.Serve(c) }() // It returns when the target is closed.
 	return nil
 }
 
@@ -260,7 +260,7 @@
 	t.stop.Do(func() {
 		close(t.done)
 		t.gate.set(true)
-		_ = t.server.Close()
+		_ = t.server.Close() // Its connections are cut in any case.
 		t.client.CloseIdleConnections()
 	})
 	t.loops.Wait()
@@ -270,7 +270,7 @@
 func (t *Target) shutdown() {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
 	defer cancel()
-	_ = t.server.Shutdown(ctx)
+	_ = t.server.Shutdown(ctx) // Stop cuts what is still open.
 	t.Stop()
 }
 
@@ -281,6 +281,6 @@
 func (t *Target) Close() {
 	t.Stop()
 	if t.control != nil {
-		_ = t.control.Close()
+		_ = t.control.Close() // It is of no further use.
 	}
 }
--- a/internal/state/history.go
+++ b/internal/state/history.go
@@ -195,11 +195,11 @@
 	var n [8]byte
 	write := func(text string) {
 		binary.LittleEndian.PutUint64(n[:], uint64(len(text)))
-		_, _ = d.Write(n[:])
-		_, _ = d.Write([]byte(text))
+		_, _ = d.Write(n[:])         // A hash never fails.
+		_, _ = d.Write([]byte(text)) // A hash never fails.
 	}
 	binary.LittleEndian.PutUint64(n[:], uint64(c.BasedOn))
-	_, _ = d.Write(n[:])
+	_, _ = d.Write(n[:]) // A hash never fails.
 	write(c.Files.Base)
 	for _, site := range sortedKeys(c.Files.Overlays) {
 		write(string(site))
--- a/internal/state/shared.go
+++ b/internal/state/shared.go
@@ -351,10 +351,10 @@
 func (d digester) number(n uint64) {
 	var b [8]byte
 	binary.LittleEndian.PutUint64(b[:], n)
-	_, _ = d.Write(b[:])
+	_, _ = d.Write(b[:]) // A hash never fails.
 }
 
 func (d digester) text(t string) {
 	d.number(uint64(len(t)))
-	_, _ = d.WriteString(t)
+	_, _ = d.WriteString(t) // A hash never fails.
 }
