Let the clock of a hedge test pass the quantile only once

The executor read the machine's clock with a quantile of 1 ms for the shard of the straggler, so that a reply to the hedge that took over 1 ms had the hedge hedged as well. Ruled out: a fault of the state machine; up to three hedges a shard are allowed, and the second was due. Change: the test gives the executor a clock that passes the quantile when the straggler has its attempt and stands still afterwards, and a hedge budget above its reserve. The checks are the same.

--- a/internal/modules/query/executor_test.go
+++ b/internal/modules/query/executor_test.go
@@ -56,8 +56,16 @@
 	b := newBed(t, 3)
 	b.tracker.quantile = time.Millisecond
 	b.tracker.fast = map[model.ShardID]bool{0: true, 2: true}
+	// The executor's clock passes the quantile once, after the straggler has its attempt. With the machine's clock, a
+	// reply to the hedge that took over a millisecond had the hedge hedged as well. The budget is above its reserve, so
+	// that the hedge is sent when it is first due.
+	start := time.Now()
+	var elapsed atomic.Int64
+	b.e.now = func() time.Time { return start.Add(time.Duration(elapsed.Load())) }
+	b.e.service("s").hedges.Deposit(hedgeReserve, 1, hedgeReserve)
 	b.transport.send = func(ctx context.Context, target *model.Target, req model.SubRequest) model.Reply {
 		if target.ID == "t1-0" {
+			elapsed.Store(int64(b.tracker.quantile))
 			return hang(ctx, req)
 		}
 		return reply(req, model.ReplyOK)
