Let entry VMs pool what they see of leaves, and avoid those in trouble

Change: entry VMs report attempts and bad attempts of each leaf every 300 ms to the control VM of their zone. Control VMs judge them with a half-life of 1 s, tell each other, and tell entry VMs the leaves in trouble, whose share of bad attempts counts in the choice like an own share of failures.

--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -36,6 +36,9 @@
 	otherPenalty = 1.4
 	// warmPenalty is how much slower a leaf is expected to be until it is warm.
 	warmPenalty = 1.6
+	// slowFactor times the usual latency is what an attempt takes that is reported as bad. Less than 1% of the attempts at
+	// sound leaves take as long, apart from those that meet a pause.
+	slowFactor = 3
 	// failurePenalty scales the expected latency of a leaf by its share of failures: a leaf of the own zone that fails one
 	// request in 15 costs as much as a sound one far away, since each failure takes an attempt from the repeat budget.
 	failurePenalty = 15
@@ -84,6 +87,8 @@
 	shedUntil, ejectedUntil time.Time
 	ejections               int
 	used                    time.Time
+	// attempts and bad count the attempts since the last report, and those among them that failed or were slow.
+	attempts, bad int
 }
 
 type startedAttempt struct {
@@ -110,6 +115,7 @@
 	leaves  map[leaves.Key]*leafStats
 	routes  map[string]*latencies
 	zones   map[model.AvailabilityZone]*zoneStats
+	trouble leaves.Trouble
 	// scanned is when the availability zones were looked at last.
 	scanned time.Time
 }
@@ -201,7 +207,8 @@
 	if now.Before(m.WarmAt) {
 		cost *= warmPenalty
 	}
-	cost *= 1 + failurePenalty*s.failures*remembered(now, s.failuresAt)
+	failures := max(s.failures*remembered(now, s.failuresAt), t.trouble[m.Incarnation()])
+	cost *= 1 + failurePenalty*failures
 	return cost * (1 + spread*t.random.Float64())
 }
 
@@ -240,6 +247,10 @@
 	if silent || end.Refused {
 		s.unansweredAt = began
 	}
+	// A refused connection says little to other VMs: each of them has its own place among those that a leaf accepts.
+	if r != nil || silent || end.Sent && !cancelled && !end.Refused {
+		s.count(end, slowFactor*t.usual(route))
+	}
 	switch {
 	case cancelled && r == nil && !silent:
 	case r != nil && r.WrongLeaf:
@@ -261,6 +272,28 @@
 	return 0
 }
 
+// count counts an attempt for the next report.
+func (s *leafStats) count(end *AttemptEnd, slow time.Duration) {
+	s.attempts++
+	if end.Reply == nil || !end.Reply.Succeeded() || end.Latency > slow {
+		s.bad++
+	}
+}
+
+// SetTrouble takes over what all entry VMs together found.
+func (t *Tracker) SetTrouble(x leaves.Trouble) { t.trouble = x }
+
+// TakeEvidence returns what was seen of leaves since it was called last.
+func (t *Tracker) TakeEvidence() (list []leaves.Evidence) {
+	for k, s := range t.leaves {
+		if s.attempts > 0 {
+			list = append(list, leaves.Evidence{Leaf: leaves.Incarnation{ID: k.ID, BornMS: k.BornMS}, Attempts: float64(s.attempts), Bad: float64(s.bad)})
+			s.attempts, s.bad = 0, 0
+		}
+	}
+	return list
+}
+
 // patience returns the age from which on an unanswered attempt shows its leaf to be silent.
 func (t *Tracker) patience(route string) time.Duration {
 	return max(silenceMin, stallFactor*t.usual(route))
--- a/internal/forward/tracker_test.go
+++ b/internal/forward/tracker_test.go
@@ -140,3 +140,31 @@
 	}
 	require.Equal(t, "c", x.Choose(at(10), "r", list, nil, connections).ID)
 }
+
+// Guards against evidence for other VMs that leaves out slow and silent leaves, or that holds it against a leaf that a caller
+// has left or that accepts no further connection of this VM.
+func TestTrackerGathersEvidence(t *testing.T) {
+	x := newTrackerTrial(3)
+	x.send(100, 100, healthy)
+	for _, e := range x.tracker.TakeEvidence() {
+		require.Zero(t, e.Bad)
+		require.Positive(t, e.Attempts)
+	}
+	require.Empty(t, x.tracker.TakeEvidence(), "it is told once")
+	m := x.list[0]
+	end := func(e AttemptEnd, cancelled bool) {
+		x.tracker.Begin(at(x.now), "r", m)
+		x.tracker.Done(at(x.now).Add(e.Latency), "r", m, at(x.now), &e, cancelled)
+	}
+	slow, _ := answersIn(50 * time.Millisecond)
+	end(slow, false)
+	end(lost, false)
+	end(AttemptEnd{Sent: true, Err: lost.Err, Latency: 400 * time.Millisecond}, true)
+	end(AttemptEnd{Sent: true, Err: lost.Err, Latency: 20 * time.Millisecond}, true)
+	end(AttemptEnd{Err: lost.Err}, false)
+	end(AttemptEnd{Err: lost.Err, Refused: true}, false)
+	end(AttemptEnd{Err: lost.Err, Refused: true, Sent: true}, false)
+	usual, _ := healthy("")
+	end(usual, false)
+	require.Equal(t, []leaves.Evidence{{Leaf: m.Incarnation(), Attempts: 4, Bad: 3}}, x.tracker.TakeEvidence())
+}
--- a/internal/kernel/interfaces.go
+++ b/internal/kernel/interfaces.go
@@ -41,6 +41,7 @@
 	CapLoadTracker     Capability = "load_tracker"
 	CapRoutePublisher  Capability = "route_publisher"
 	CapLeafRegistry    Capability = "leaf_registry"
+	CapLeafReporter    Capability = "leaf_reporter"
 	CapForwarder       Capability = "forwarder"
 	CapLeafTransport   Capability = "leaf_transport"
 	CapLeafProtocol    Capability = "leaf_protocol"
@@ -286,6 +287,12 @@
 	SignOff(ctx context.Context, id string, bornMS int64) error
 }
 
+// LeafReporter tells other VMs what this VM saw of leaves.
+type LeafReporter interface {
+	// Report sends the evidence since the last report, without waiting. It may get lost.
+	Report(list []leaves.Evidence)
+}
+
 // Forwarder answers requests that are routed by host and path.
 type Forwarder interface {
 	Forward(ctx context.Context, req *forward.Request) *forward.Response
--- a/internal/modules/forwarder/module.go
+++ b/internal/modules/forwarder/module.go
@@ -31,7 +31,7 @@
 	kernel.Register(kernel.ModuleInfo{
 		ID:       "forward.routes",
 		New:      func() kernel.Module { return &Module{} },
-		Needs:    []kernel.Capability{kernel.CapLog, kernel.CapLeafTransport},
+		Needs:    []kernel.Capability{kernel.CapLog, kernel.CapLeafTransport, kernel.CapLeafReporter},
 		Wants:    []kernel.Capability{kernel.CapMetrics},
 		Provides: []kernel.Capability{kernel.CapForwarder},
 		Enabled:  kernel.ForRoutes(settings.RoleEntry),
@@ -80,6 +80,9 @@
 	// ejections bounds the lines about ejected leaves.
 	ejections sampler
 	zones     zoneWatch
+	reporter  kernel.LeafReporter
+	// reporting says that a goroutine reports what this VM sees of leaves. The lock guards it.
+	reporting bool
 }
 
 // Provision implements kernel.Provisioner.
@@ -100,6 +103,9 @@
 	m.budgets = map[model.ServiceName]*forward.Budget{}
 	m.waiters = waiters{}
 	var err error
+	if m.reporter, err = kernel.Lookup[kernel.LeafReporter](ctx); err != nil {
+		return err
+	}
 	m.transport, err = kernel.Lookup[kernel.LeafTransport](ctx)
 	return err
 }
--- a/internal/modules/forwarder/runner.go
+++ b/internal/modules/forwarder/runner.go
@@ -111,6 +111,7 @@
 		m.metrics.cancelled.Inc(1)
 	}
 	ejected := m.tracker.Done(m.now(), r.route.Name, f.leaf, f.began, &end, f.cancelled)
+	m.startReports()
 	m.waiters.wake(f.leaf.Service)
 	m.mu.Unlock()
 	if ejected > 0 {
@@ -169,9 +170,10 @@
 // Choose implements forward.Env.
 func (r *runner) Choose(now time.Time, service model.ServiceName, tried []*leaves.Member) *leaves.Member {
 	m := r.module
-	list := m.members(service)
+	list, trouble := m.members(service), m.control.View().LeafTrouble
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.tracker.SetTrouble(trouble)
 	return m.tracker.Choose(now, r.route.Name, list, tried, m.transport)
 }
 
--- a/internal/modules/forwarder/zones_test.go
+++ b/internal/modules/forwarder/zones_test.go
@@ -61,7 +61,7 @@
 	require.NoError(t, err)
 	x := &cutTransport{}
 	m := &Module{
-		control: kernel.NewTestControl(), readiness: kernel.NewReadiness(), transport: x, logger: log.NewNopLogger(), metrics: newMetrics(tally.NoopScope), now: time.Now,
+		control: kernel.NewTestControl(), readiness: kernel.NewReadiness(), transport: x, reporter: &keptReports{}, logger: log.NewNopLogger(), metrics: newMetrics(tally.NoopScope), now: time.Now,
 		budgets: map[model.ServiceName]*forward.Budget{}, random: rand.New(rand.NewPCG(1, 2)), waiters: waiters{},
 		tracker: forward.NewTracker(forward.TrackerOptions{Zone: "own", HedgeQuantile: 0.9}, rand.New(rand.NewPCG(1, 2))),
 	}
--- a/internal/modules/membership/codec.go
+++ b/internal/modules/membership/codec.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -32,6 +33,38 @@
 	}
 }
 
+func encodeEvidence(list []leaves.Evidence) *membershippb.LeafReport {
+	out := &membershippb.LeafReport{}
+	for _, e := range list {
+		out.Leaves = append(out.Leaves, &membershippb.LeafEvidence{Id: e.Leaf.ID, BornMs: e.Leaf.BornMS, Attempts: uint32(e.Attempts), Bad: uint32(e.Bad)})
+	}
+	return out
+}
+
+func encodeTrouble(x leaves.Trouble) *membershippb.LeafReport {
+	out := &membershippb.LeafReport{}
+	for leaf, share := range x {
+		out.Leaves = append(out.Leaves, &membershippb.LeafEvidence{Id: leaf.ID, BornMs: leaf.BornMS, SharePercent: uint32(math.Round(100 * share))})
+	}
+	return out
+}
+
+// decodeEvidence refuses numbers that no VM sends, since evidence of that size would take long to fade.
+func decodeEvidence(x *membershippb.LeafReport) (list []leaves.Evidence, trouble leaves.Trouble, err error) {
+	trouble = leaves.Trouble{}
+	for _, l := range x.GetLeaves() {
+		if l.GetAttempts() > maxAttempts || l.GetBad() > l.GetAttempts() || l.GetSharePercent() > 100 {
+			return nil, nil, errs.New(errs.KindInvalid, "run the same release on all VMs", "leaf %s is reported with %d of %d attempts bad, %d%%", l.GetId(), l.GetBad(), l.GetAttempts(), l.GetSharePercent())
+		}
+		leaf := leaves.Incarnation{ID: l.GetId(), BornMS: l.GetBornMs()}
+		list = append(list, leaves.Evidence{Leaf: leaf, Attempts: float64(l.GetAttempts()), Bad: float64(l.GetBad())})
+		if l.GetSharePercent() > 0 {
+			trouble[leaf] = float64(l.GetSharePercent()) / 100
+		}
+	}
+	return list, trouble, nil
+}
+
 func decodeNews(data []byte) (news, error) {
 	var x membershippb.WatchReply
 	if err := proto.Unmarshal(data, &x); err != nil {
@@ -44,6 +77,11 @@
 		}
 		n.leaves = append(n.leaves, decodeLeaf(l))
 	}
+	n.troubleVersion, n.toldTrouble = x.GetTroubleVersion(), x.GetTrouble() != nil
+	var err error
+	if n.gathered, n.trouble, err = decodeEvidence(x.GetTrouble()); err != nil {
+		return news{}, err
+	}
 	for _, vm := range x.GetControlVms() {
 		n.controlVMs = append(n.controlVMs, model.VMName(vm))
 	}
--- a/internal/modules/membership/module.go
+++ b/internal/modules/membership/module.go
@@ -29,7 +29,7 @@
 		New:      func() kernel.Module { return &Module{} },
 		Needs:    []kernel.Capability{kernel.CapLog, kernel.CapPeerTransport},
 		Wants:    []kernel.Capability{kernel.CapMetrics, kernel.CapStateMachine},
-		Provides: []kernel.Capability{kernel.CapLeafRegistry},
+		Provides: []kernel.Capability{kernel.CapLeafRegistry, kernel.CapLeafReporter},
 		Enabled:  func(s *settings.Settings) bool { return s.Traffic == settings.TrafficRoutes },
 		Settings: []settings.Key{
 			{Section: section, Name: "leaf_lapse", Kind: settings.KindDuration, Default: "8s", Min: 0.1, Max: 600, Help: "silence after which a leaf is used only where there is no other; several heartbeats may be late"},
@@ -83,6 +83,12 @@
 	routes      *routes.Table
 	entryVMs    int
 	controlVMs  []model.VMName
+	// troubleVersion is the version of what the control VM knows of leaves in trouble. It is listed in trouble, or in gathered
+	// for control VMs, when toldTrouble is set.
+	troubleVersion uint64
+	toldTrouble    bool
+	trouble        leaves.Trouble
+	gathered       []leaves.Evidence
 	// light says that leaves and routes were not asked for.
 	light bool
 }
@@ -90,7 +96,9 @@
 // source is what one control VM told this VM.
 type source struct {
 	// full says that leaves and routes are taken from it. The goroutine that follows it reads this.
-	full     atomic.Bool
+	full atomic.Bool
+	// first says that leaves in trouble are taken from it, and that it gets the reports of this VM.
+	first    atomic.Bool
 	copy     leaves.Copy
 	entryVMs int
 	contact  time.Time
@@ -123,6 +131,7 @@
 	index     *leaves.Index
 	entryVMs  int
 	state     kernel.RouteState
+	pool      pool
 	// fewerSince is since when fewer entry VMs are reported than the number in use.
 	fewerSince time.Time
 	// started is when the process started.
@@ -140,13 +149,14 @@
 }
 
 type gauges struct {
-	ready, draining, lapsed, routesVersion, entryVMs tally.Gauge
+	ready, draining, lapsed, routesVersion, entryVMs, trouble tally.Gauge
 }
 
 func newGauges(s tally.Scope) gauges {
 	return gauges{
 		ready: s.Gauge("leaves_ready"), draining: s.Gauge("leaves_draining"), lapsed: s.Gauge("leaves_lapsed"),
 		routesVersion: s.Gauge("routes_version"), entryVMs: s.Gauge("entry_vms"),
+		trouble: s.Gauge("leaves_in_trouble"),
 	}
 }
 
@@ -163,6 +173,7 @@
 	})
 	m.sources, m.entrySeen = map[model.VMName]*source{}, map[model.VMName]time.Time{}
 	m.changed, m.started = make(chan struct{}), ctx.Now()
+	m.pool.init()
 	m.run, m.cancel = context.WithCancel(context.Background())
 	var err error
 	if m.peers, err = kernel.Lookup[kernel.PeerTransport](ctx); err != nil {
@@ -176,6 +187,7 @@
 			return err
 		}
 		m.peers.Handle(kindWatch, m.answer)
+		m.peers.Handle(kindReport, m.takeReport)
 		m.cache = newCache(fsys.OS{}, s.DataFolder, m.logger)
 	}
 	m.peers.OnChange(func(kernel.PeerStatus) { _ = m.control.PostWait(m.run, peersEvent{}) }) // It fails only once the process ends.
@@ -213,6 +225,11 @@
 		m.control.After(scanInterval, scanEvent{})
 	case newsEvent:
 		m.take(now, x)
+	case reportEvent:
+		m.pool.board.Report(now, x.list)
+		m.judgeSoon()
+	case troubleEvent:
+		m.judgeTrouble(now)
 	case peersEvent:
 		m.followAll()
 		m.chooseSources(now)
@@ -240,6 +257,9 @@
 	}
 	m.followAll()
 	m.takeRoutes(x.from, x.news.routes)
+	if x.news.toldTrouble {
+		m.takeTrouble(now, s, x)
+	}
 	if m.controls {
 		m.merge(now, x)
 		return
@@ -330,6 +350,7 @@
 // scan lets silent leaves, entry VMs and control VMs lapse.
 func (m *Module) scan(now time.Time) {
 	m.chooseSources(now)
+	m.logTrouble(now)
 	if !m.controls {
 		m.countEntryVMs(now)
 		m.forgetSources(now)
@@ -337,6 +358,7 @@
 	}
 	// The event of a change may have found the queue full.
 	m.takeRoutes(m.self, m.state.Table())
+	m.dropTrouble(now)
 	before := m.table.Position()
 	m.table.Scan(now, scanInterval, m.contact)
 	if m.table.Position() != before {
@@ -371,7 +393,7 @@
 
 // ContributeView implements kernel.ViewContributor.
 func (m *Module) ContributeView(_ time.Time, v *kernel.View) {
-	v.Routes, v.Leaves, v.EntryVMs = m.routes, m.index, m.entryVMs
+	v.Routes, v.Leaves, v.EntryVMs, v.LeafTrouble = m.routes, m.index, m.entryVMs, m.pool.inForce
 }
 
 // maxLeafLines bounds the lines about leaves of one answer.
--- a/internal/modules/membership/module_test.go
+++ b/internal/modules/membership/module_test.go
@@ -35,7 +35,9 @@
 
 func newModule() *Module {
 	peers := fakePeers{}
-	m := &Module{self: "e", zone: "z2", logger: log.NewNopLogger(), sources: map[model.VMName]*source{}, table: leaves.NewTable("e", leaves.Config{})}
+	m := &Module{self: "e", zone: "z2", settings: &settings.Settings{}, run: context.Background(), changed: make(chan struct{}), logger: log.NewNopLogger(), sources: map[model.VMName]*source{}, table: leaves.NewTable("e", leaves.Config{}),
+		control: kernel.NewTestControl(), gauges: newGauges(tally.NoopScope)}
+	m.pool.init()
 	for vm, zone := range map[model.VMName]model.AvailabilityZone{"a": "z1", "b": "z2", "c": "z3", "d": "z4"} {
 		peers = append(peers, kernel.PeerStatus{VM: vm, AvailabilityZone: zone, Connected: true, Control: true})
 		m.sources[vm] = &source{}
--- a/internal/modules/membership/sources.go
+++ b/internal/modules/membership/sources.go
@@ -56,6 +56,14 @@
 		if s := m.sources[vm]; s.full.Swap(full) != full {
 			_ = level.Info(m.logger).Log("msg", "source of leaves and routes changed", "from", vm, "full", full)
 		}
+		m.sources[vm].first.Store(i == 0)
+	}
+	if m.controls || len(order) == 0 || order[0] == m.reportTo() {
+		return
+	}
+	m.pool.reportTo.Store(&order[0])
+	if len(m.pool.inForce) > 0 {
+		m.setTrouble(now, order[0], nil) // The other control VM tells what it knows.
 	}
 }
 
--- a/internal/modules/membership/watch.go
+++ b/internal/modules/membership/watch.go
@@ -28,6 +28,9 @@
 			// What was told before is not kept up to date by a light watch.
 			req.Light, req.Position, req.Incarnation = light, 0, 0
 		}
+		if trouble := m.controls || s.first.Load(); trouble != req.Trouble {
+			req.Trouble, req.TroubleVersion = trouble, 0
+		}
 		if v := m.control.View().Routes; v != nil {
 			req.RoutesVersion = uint64(v.Version)
 		}
@@ -47,7 +50,7 @@
 			lastErr = ""
 		}
 		n.light = light
-		req.Incarnation, req.Position = n.incarnation, n.position
+		req.Incarnation, req.Position, req.TroubleVersion = n.incarnation, n.position, n.troubleVersion
 		if m.control.PostWait(run, newsEvent{vm, n}) != nil {
 			return
 		}
@@ -81,12 +84,15 @@
 	defer hold.Stop()
 	for last := false; ; {
 		var reply *membershippb.WatchReply
-		var changed chan struct{}
+		var changed, troubled chan struct{}
 		err := m.control.Do(ctx, func(now time.Time) {
 			if !req.GetControl() {
 				m.entrySeen[from] = now
 			}
 			reply, changed = m.news(now, &req, last), m.changed
+			if req.GetTrouble() {
+				troubled = m.pool.changed
+			}
 		})
 		if err != nil {
 			return nil, err
@@ -96,6 +102,7 @@
 		}
 		select {
 		case <-changed:
+		case <-troubled:
 		case <-hold.C:
 			last = true
 		case <-ctx.Done():
@@ -114,8 +121,13 @@
 		position = 0
 	}
 	newRoutes := !req.GetNoRoutes() && !req.GetLight() && m.routes != nil && uint64(m.routes.Version) > req.GetRoutesVersion()
+	troubleVersion := m.pool.version
+	if req.GetControl() {
+		troubleVersion = m.pool.gatheredVersion
+	}
+	newTrouble := req.GetTrouble() && (!known || req.GetTroubleVersion() != troubleVersion)
 	// The first light watch is answered at once, so that the follower knows that this VM answers.
-	news := newRoutes || !known || !req.GetLight() && position != m.table.Position()
+	news := newRoutes || !known || newTrouble || !req.GetLight() && position != m.table.Position()
 	if !always && !news {
 		return nil
 	}
@@ -126,6 +138,12 @@
 	}
 	reply := &membershippb.WatchReply{
 		Incarnation: m.incarnation, Position: m.table.Position(), Complete: complete, EntryVms: uint32(m.knownEntryVMs(now)),
+		TroubleVersion: troubleVersion,
+	}
+	if newTrouble && req.GetControl() {
+		reply.Trouble = encodeEvidence(m.pool.gathered)
+	} else if newTrouble {
+		reply.Trouble = encodeTrouble(m.pool.inForce)
 	}
 	for i := range list {
 		reply.Leaves = append(reply.Leaves, encodeLeaf(&list[i]))
