--- a/internal/modules/membership/trouble.go
+++ b/internal/modules/membership/trouble.go
@@ -45,11 +45,12 @@
 
 // pool is what the VMs together see of leaves. It belongs to the control goroutine, apart from reportTo.
 type pool struct {
-	// inForce holds the leaves in trouble, which from told. On a control VM it comes from the board, and version is its version.
+	// inForce holds the leaves in trouble. From is the control VM that told of them, or this VM itself if it is one.
 	inForce leaves.Trouble
 	from    model.VMName
-	version uint64
+	// board and version, the version of inForce, are used on control VMs only.
 	board   *leaves.TroubleBoard
+	version uint64
 	// gathered is what entry VMs reported to this control VM, as the others have been told since gatheredAt.
 	gathered        []leaves.Evidence
 	gatheredAt      time.Time
