Keep with each control VM what it told of leaves in trouble

An entry VM kept the last trouble in force for as long as no control VM answered, so that leaves which were well again stayed avoided. And what had been dropped after a short silence of a control VM was not told again until it changed, since the version that the follower named had not. Ruled out: a flag for each case; the copy of leaves has neither fault, because each source keeps what it told and the parts in use are joined from sources that answer. Change: sources keep trouble and evidence like that copy. Control VMs judge on one tick instead of timers that were armed by four conditions; the board holds reports only. One place says which control VM is the first one. Evidence and trouble are messages of their own. The tracker is given the trouble with each choice. A branch for VMs with both roles is gone: they have no index of leaves, so it was never used. News and recalled leaves, and the evidence of the tracker, have files of their own. Tests: TestOldTroubleIsNotUsed and TestUnchangedTroubleIsUsedAgain fail without it. The checks of the others are the same; two lines on timers that are gone were dropped with them, and the board's forgetting is checked at the module now.

--- a/internal/forward/run_test.go
+++ b/internal/forward/run_test.go
@@ -302,15 +302,15 @@
 	}
 	x.Begin(at(100), "r", list[0])
 	for range 20 {
-		require.NotEqual(t, "a", x.Choose(at(200), "r", list, nil, room).ID, "a has not answered for 100 ms")
+		require.NotEqual(t, "a", x.Choose(at(200), "r", list, nil, nil, room).ID, "a has not answered for 100 ms")
 	}
 	for i := range ejectAfter {
 		x.Begin(at(200+i), "r", list[1])
 		x.Done(at(200+i), "r", list[1], at(200+i), &lost, false)
 	}
 	for range 20 {
-		require.Equal(t, "c", x.Choose(at(210), "r", list, nil, room).ID)
+		require.Equal(t, "c", x.Choose(at(210), "r", list, nil, nil, room).ID)
 	}
-	require.Equal(t, "b", x.Choose(at(210), "r", list[1:2], nil, room).ID, "an ejected leaf serves when there is no other")
-	require.Nil(t, x.Choose(at(210), "r", list[:1], list[:1], room))
+	require.Equal(t, "b", x.Choose(at(210), "r", list[1:2], nil, nil, room).ID, "an ejected leaf serves when there is no other")
+	require.Nil(t, x.Choose(at(210), "r", list[:1], list[:1], nil, room))
 }
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -36,9 +36,6 @@
 	otherPenalty = 1.4
 	// warmPenalty is how much slower a leaf is expected to be until it is warm.
 	warmPenalty = 1.6
-	// slowFactor times the usual latency is what an attempt takes that is reported as bad. Less than 1% of the attempts at
-	// sound leaves take as long, apart from those that meet a pause.
-	slowFactor = 3
 	// failurePenalty scales the expected latency of a leaf by its share of failures: a leaf of the own zone that fails one
 	// request in 15 costs as much as a sound one far away, since each failure takes an attempt from the repeat budget.
 	failurePenalty = 15
@@ -87,8 +84,7 @@
 	shedUntil, ejectedUntil time.Time
 	ejections               int
 	used                    time.Time
-	// attempts and bad count the attempts since the last report, and those among them that failed or were slow.
-	attempts, bad int
+	counts                  attemptCounts
 }
 
 type startedAttempt struct {
@@ -115,7 +111,6 @@
 	leaves  map[leaves.Key]*leafStats
 	routes  map[string]*latencies
 	zones   map[model.AvailabilityZone]*zoneStats
-	trouble leaves.Trouble
 	// scanned is when the availability zones were looked at last.
 	scanned time.Time
 }
@@ -147,8 +142,8 @@
 
 // Choose returns the leaf that is expected to answer first among those that were not tried and have room, or nil.
 // Ejected leaves are chosen only when there is no other, or for a single trial once their time is over. Leaves of silent
-// availability zones are chosen only when there is no other.
-func (t *Tracker) Choose(now time.Time, route string, list, tried []*leaves.Member, connections Connections) *leaves.Member {
+// availability zones are chosen only when there is no other. Trouble is what all entry VMs together found.
+func (t *Tracker) Choose(now time.Time, route string, list, tried []*leaves.Member, trouble leaves.Trouble, connections Connections) *leaves.Member {
 	var best, ejected *leaves.Member
 	var bestCost float64
 	usual := t.usual(route)
@@ -163,7 +158,7 @@
 			}
 			continue
 		}
-		cost := t.cost(now, m, s, usual)
+		cost := t.cost(now, m, s, usual, trouble[m.Key().Incarnation])
 		if !connections.Prefers(m) {
 			cost *= otherPenalty
 		}
@@ -177,8 +172,9 @@
 	return best
 }
 
-// cost is the expected latency, in units of the usual latency of the route.
-func (t *Tracker) cost(now time.Time, m *leaves.Member, s *leafStats, usual time.Duration) float64 {
+// cost is the expected latency, in units of the usual latency of the route. Trouble is the share of attempts at the leaf that all
+// entry VMs together find bad.
+func (t *Tracker) cost(now time.Time, m *leaves.Member, s *leafStats, usual time.Duration, trouble float64) float64 {
 	pace := 1.0
 	if s.pace != 0 {
 		pace += (s.pace - 1) * remembered(now, s.paceAt)
@@ -207,7 +203,7 @@
 	if now.Before(m.WarmAt) {
 		cost *= warmPenalty
 	}
-	failures := max(s.failures*remembered(now, s.failuresAt), t.trouble[m.Incarnation()])
+	failures := max(s.failures*remembered(now, s.failuresAt), trouble)
 	cost *= 1 + failurePenalty*failures
 	return cost * (1 + spread*t.random.Float64())
 }
@@ -247,10 +243,7 @@
 	if silent || end.Refused {
 		s.unansweredAt = began
 	}
-	// A refused connection says little to other VMs: each of them has its own place among those that a leaf accepts.
-	if r != nil || silent || end.Sent && !cancelled && !end.Refused {
-		s.count(end, slowFactor*t.usual(route))
-	}
+	s.counts.add(end, silent, cancelled, t.usual(route))
 	switch {
 	case cancelled && r == nil && !silent:
 	case r != nil && r.WrongLeaf:
@@ -272,28 +265,6 @@
 	return 0
 }
 
-// count counts an attempt for the next report.
-func (s *leafStats) count(end *AttemptEnd, slow time.Duration) {
-	s.attempts++
-	if end.Reply == nil || !end.Reply.Succeeded() || end.Latency > slow {
-		s.bad++
-	}
-}
-
-// SetTrouble takes over what all entry VMs together found.
-func (t *Tracker) SetTrouble(x leaves.Trouble) { t.trouble = x }
-
-// TakeEvidence returns what was seen of leaves since it was called last.
-func (t *Tracker) TakeEvidence() (list []leaves.Evidence) {
-	for k, s := range t.leaves {
-		if s.attempts > 0 {
-			list = append(list, leaves.Evidence{Leaf: leaves.Incarnation{ID: k.ID, BornMS: k.BornMS}, Attempts: float64(s.attempts), Bad: float64(s.bad)})
-			s.attempts, s.bad = 0, 0
-		}
-	}
-	return list
-}
-
 // patience returns the age from which on an unanswered attempt shows its leaf to be silent.
 func (t *Tracker) patience(route string) time.Duration {
 	return max(silenceMin, stallFactor*t.usual(route))
--- a/internal/forward/tracker_test.go
+++ b/internal/forward/tracker_test.go
@@ -37,7 +37,7 @@
 	x.chosen = map[string]int{}
 	for range n {
 		x.now += gap
-		m := x.tracker.Choose(at(x.now), "r", x.list, nil, openLeaves{})
+		m := x.tracker.Choose(at(x.now), "r", x.list, nil, nil, openLeaves{})
 		x.chosen[m.ID]++
 		end, cancelled := behave(m.ID)
 		x.tracker.Begin(at(x.now), "r", m)
@@ -128,9 +128,9 @@
 	x := NewTracker(TrackerOptions{Zone: "z", HedgeQuantile: 0.9}, testRandom())
 	list, connections := members(3), openLeaves{others: []string{"c"}}
 	for range 50 {
-		require.NotEqual(t, "c", x.Choose(at(0), "r", list, nil, connections).ID)
+		require.NotEqual(t, "c", x.Choose(at(0), "r", list, nil, nil, connections).ID)
 	}
-	require.Equal(t, "c", x.Choose(at(0), "r", list, list[:2], connections).ID)
+	require.Equal(t, "c", x.Choose(at(0), "r", list, list[:2], nil, connections).ID)
 	for _, m := range list[:2] {
 		for i := range ejectAfter {
 			x.Begin(at(i), "r", m)
@@ -138,7 +138,7 @@
 			require.Equal(t, i == ejectAfter-1, ejected == ejectMin, "the ejection is told")
 		}
 	}
-	require.Equal(t, "c", x.Choose(at(10), "r", list, nil, connections).ID)
+	require.Equal(t, "c", x.Choose(at(10), "r", list, nil, nil, connections).ID)
 }
 
 // Guards against evidence for other VMs that leaves out slow and silent leaves, or that holds it against a leaf that a caller
@@ -166,5 +166,5 @@
 	end(AttemptEnd{Err: lost.Err, Refused: true, Sent: true}, false)
 	usual, _ := healthy("")
 	end(usual, false)
-	require.Equal(t, []leaves.Evidence{{Leaf: m.Incarnation(), Attempts: 4, Bad: 3}}, x.tracker.TakeEvidence())
+	require.Equal(t, []leaves.Evidence{{Leaf: m.Key().Incarnation, Attempts: 4, Bad: 3}}, x.tracker.TakeEvidence())
 }
--- a/internal/forward/zones_test.go
+++ b/internal/forward/zones_test.go
@@ -81,9 +81,9 @@
 	x.run(1000, everywhere("y"))
 	silent := x.tracker.SilentZones(at(x.now))
 	require.Equal(t, []model.AvailabilityZone{"y"}, silent)
-	m := x.tracker.Choose(at(x.now), "r", x.index.Services["s0"][:2], nil, openLeaves{})
+	m := x.tracker.Choose(at(x.now), "r", x.index.Services["s0"][:2], nil, nil, openLeaves{})
 	require.Equal(t, "s0x", m.ID, "a leaf of another zone goes first")
-	require.NotNil(t, x.tracker.Choose(at(x.now), "r", x.index.Services["s2"], nil, openLeaves{}), "the only leaf is still used")
+	require.NotNil(t, x.tracker.Choose(at(x.now), "r", x.index.Services["s2"], nil, nil, openLeaves{}), "the only leaf is still used")
 	route := &routes.Route{Shards: []model.ServiceName{"s0", "s1", "s2", "s3"}, MinCoverage: 0.75}
 	refusal := Unreachable(route, x.index, silent)
 	require.Equal(t, KindRefused, refusal.Kind)
--- a/internal/leaves/index.go
+++ b/internal/leaves/index.go
@@ -30,24 +30,20 @@
 	WarmAt time.Time
 }
 
-// Key names one incarnation of a leaf at one address.
-type Key struct {
-	ID      string
-	BornMS  int64
-	Address string
-}
-
-// Key returns the key of the incarnation.
-func (m *Member) Key() Key { return Key{m.ID, m.BornMS, m.Address} }
-
 // Incarnation names one start of a leaf.
 type Incarnation struct {
 	ID     string
 	BornMS int64
 }
 
-// Incarnation returns the incarnation of the leaf.
-func (m *Member) Incarnation() Incarnation { return Incarnation{m.ID, m.BornMS} }
+// Key names one incarnation of a leaf at one address.
+type Key struct {
+	Incarnation
+	Address string
+}
+
+// Key returns the key of the incarnation.
+func (m *Member) Key() Key { return Key{Incarnation{m.ID, m.BornMS}, m.Address} }
 
 // Index is the immutable set of leaves that requests may be sent to, by service and in the order of their IDs.
 type Index struct {
--- a/internal/leaves/trouble.go
+++ b/internal/leaves/trouble.go
@@ -5,8 +5,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"github.com/chestnuttiller/chestnuttiller/internal/model"
 )
 
 const (
@@ -48,10 +46,9 @@
 // Trouble holds the leaves in trouble with the share of their attempts that are bad. It is immutable.
 type Trouble map[Incarnation]float64
 
-// TroubleBoard gathers on a control VM what entry VMs report of leaves, and what other control VMs have gathered.
+// TroubleBoard gathers on a control VM what entry VMs report of leaves.
 type TroubleBoard struct {
 	reported map[Incarnation]*fading
-	told     map[model.VMName][]Evidence
 }
 
 // fading is evidence that counts less with time.
@@ -62,7 +59,7 @@
 
 // NewTroubleBoard returns an empty board.
 func NewTroubleBoard() *TroubleBoard {
-	return &TroubleBoard{reported: map[Incarnation]*fading{}, told: map[model.VMName][]Evidence{}}
+	return &TroubleBoard{reported: map[Incarnation]*fading{}}
 }
 
 func (f *fading) age(now time.Time) {
@@ -83,25 +80,6 @@
 	}
 }
 
-// Learn replaces what another control VM has gathered.
-func (b *TroubleBoard) Learn(from model.VMName, list []Evidence) {
-	if len(list) == 0 {
-		delete(b.told, from)
-		return
-	}
-	b.told[from] = list
-}
-
-// Forget drops what another control VM has gathered, and reports whether that was something.
-func (b *TroubleBoard) Forget(from model.VMName) bool {
-	_, ok := b.told[from]
-	delete(b.told, from)
-	return ok
-}
-
-// Idle reports whether there is nothing that fades.
-func (b *TroubleBoard) Idle() bool { return len(b.reported) == 0 }
-
 // Gathered returns the evidence of leaves that are in trouble by the reports to this VM alone, for other control VMs, in the
 // order of the leaves. It forgets what has faded.
 func (b *TroubleBoard) Gathered(now time.Time) []Evidence {
@@ -122,14 +100,14 @@
 	return out
 }
 
-// Trouble returns the leaves in trouble by all that is known.
-func (b *TroubleBoard) Trouble(now time.Time) Trouble {
+// Trouble returns the leaves in trouble by the reports to this VM and by what other control VMs have gathered.
+func (b *TroubleBoard) Trouble(now time.Time, others ...[]Evidence) Trouble {
 	sums := map[Incarnation]Evidence{}
 	for k, f := range b.reported {
 		f.age(now)
 		sums[k] = Evidence{k, f.attempts, f.bad}
 	}
-	for _, list := range b.told {
+	for _, list := range others {
 		for _, e := range list {
 			s := sums[e.Leaf]
 			sums[e.Leaf] = Evidence{e.Leaf, s.Attempts + e.Attempts, s.Bad + e.Bad}
--- a/internal/leaves/trouble_test.go
+++ b/internal/leaves/trouble_test.go
@@ -25,7 +25,7 @@
 	later := start.Add(4 * time.Second)
 	require.Less(t, b.Trouble(later).of("slow"), 0.4)
 	require.Empty(t, b.Gathered(start.Add(20*time.Second)))
-	require.True(t, b.Idle(), "what has faded takes no memory")
+	require.Empty(t, b.reported, "what has faded takes no memory")
 }
 
 // Guards against one failure of a leaf with little traffic that keeps all VMs away from it.
@@ -37,16 +37,14 @@
 	require.NotEmpty(t, b.Trouble(start))
 }
 
-// Guards against trouble that only the VMs of one availability zone avoid, against the bad link of one zone that speaks
-// against leaves which serve all others, and against what a lost control VM told.
+// Guards against trouble that only the VMs of one availability zone avoid, and against the bad link of one zone that speaks
+// against leaves which serve all others.
 func TestControlVMsPoolTheirEvidence(t *testing.T) {
 	a, b := NewTroubleBoard(), NewTroubleBoard()
 	a.Report(start, []Evidence{evidence("slow", 40, 38), evidence("far", 8, 6)})
 	b.Report(start, []Evidence{evidence("far", 80, 0)})
-	b.Learn("a", a.Gathered(start))
-	require.InDelta(t, a.Trouble(start).of("slow"), b.Trouble(start).of("slow"), 0.1)
-	require.Zero(t, b.Trouble(start).of("far"))
-	b.Learn("a", nil)
+	require.InDelta(t, a.Trouble(start).of("slow"), b.Trouble(start, a.Gathered(start)).of("slow"), 0.1)
+	require.Zero(t, b.Trouble(start, a.Gathered(start)).of("far"))
 	require.Empty(t, b.Trouble(start))
 }
 
--- a/internal/modules/forwarder/runner.go
+++ b/internal/modules/forwarder/runner.go
@@ -173,8 +173,7 @@
 	list, trouble := m.members(service), m.control.View().LeafTrouble
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.tracker.SetTrouble(trouble)
-	return m.tracker.Choose(now, r.route.Name, list, tried, m.transport)
+	return m.tracker.Choose(now, r.route.Name, list, tried, trouble, m.transport)
 }
 
 // Known implements forward.Env.
--- a/internal/modules/membership/cache.go
+++ b/internal/modules/membership/cache.go
@@ -106,3 +106,25 @@
 	n, err := decodeNews(data[checksumBytes:])
 	return memory{n.leaves, n.entryVMs}, err
 }
+
+// recall takes over the leaves that were known before a restart. They count as heard from here, and lapse unless they are
+// heard from again somewhere.
+func (m *Module) recall(now time.Time, known memory) {
+	for _, l := range known.leaves {
+		l.Origin = m.self
+		m.table.Merge(now, m.self, l)
+	}
+	m.recalledVMs = known.entryVMs
+	if len(known.leaves) > 0 {
+		_ = level.Info(m.logger).Log("msg", "leaves recalled from disk", "leaves", len(known.leaves), "entry_vms", known.entryVMs)
+	}
+}
+
+// knownEntryVMs returns the number of entry VMs on a control VM, or 0 while it is unknown. For some time after a restart it is
+// the one from before: entry VMs that are restarted as well would otherwise take larger parts of what they share.
+func (m *Module) knownEntryVMs(now time.Time) int {
+	if now.Sub(m.started) > countAfter {
+		return len(m.entrySeen)
+	}
+	return m.recalledVMs
+}
--- a/internal/modules/membership/codec.go
+++ b/internal/modules/membership/codec.go
@@ -15,6 +15,9 @@
 	"github.com/chestnuttiller/chestnuttiller/internal/routescodec/routespb"
 )
 
+// maxAttempts is above what all entry VMs together send to one leaf within the time that evidence counts.
+const maxAttempts = 1e6
+
 func encodeRoutes(t *routes.Table) *routespb.Table { return routescodec.ToTable(t) }
 
 func encodeLeaf(l *leaves.Leaf) *membershippb.Leaf {
@@ -41,28 +44,35 @@
 	return out
 }
 
-func encodeTrouble(x leaves.Trouble) *membershippb.LeafReport {
-	out := &membershippb.LeafReport{}
+// decodeEvidence refuses numbers that no VM sends, since evidence of that size would take long to fade.
+func decodeEvidence(x *membershippb.LeafReport) (list []leaves.Evidence, err error) {
+	for _, l := range x.GetLeaves() {
+		if l.GetAttempts() > maxAttempts || l.GetBad() > l.GetAttempts() {
+			return nil, errs.New(errs.KindInvalid, "run the same release on all VMs", "leaf %s is reported with %d of %d attempts bad", l.GetId(), l.GetBad(), l.GetAttempts())
+		}
+		leaf := leaves.Incarnation{ID: l.GetId(), BornMS: l.GetBornMs()}
+		list = append(list, leaves.Evidence{Leaf: leaf, Attempts: float64(l.GetAttempts()), Bad: float64(l.GetBad())})
+	}
+	return list, nil
+}
+
+func encodeTrouble(x leaves.Trouble) *membershippb.LeafTrouble {
+	out := &membershippb.LeafTrouble{}
 	for leaf, share := range x {
-		out.Leaves = append(out.Leaves, &membershippb.LeafEvidence{Id: leaf.ID, BornMs: leaf.BornMS, SharePercent: uint32(math.Round(100 * share))})
+		out.Leaves = append(out.Leaves, &membershippb.TroubledLeaf{Id: leaf.ID, BornMs: leaf.BornMS, SharePercent: uint32(math.Round(100 * share))})
 	}
 	return out
 }
 
-// decodeEvidence refuses numbers that no VM sends, since evidence of that size would take long to fade.
-func decodeEvidence(x *membershippb.LeafReport) (list []leaves.Evidence, trouble leaves.Trouble, err error) {
-	trouble = leaves.Trouble{}
+func decodeTrouble(x *membershippb.LeafTrouble) (leaves.Trouble, error) {
+	out := leaves.Trouble{}
 	for _, l := range x.GetLeaves() {
-		if l.GetAttempts() > maxAttempts || l.GetBad() > l.GetAttempts() || l.GetSharePercent() > 100 {
-			return nil, nil, errs.New(errs.KindInvalid, "run the same release on all VMs", "leaf %s is reported with %d of %d attempts bad, %d%%", l.GetId(), l.GetBad(), l.GetAttempts(), l.GetSharePercent())
-		}
-		leaf := leaves.Incarnation{ID: l.GetId(), BornMS: l.GetBornMs()}
-		list = append(list, leaves.Evidence{Leaf: leaf, Attempts: float64(l.GetAttempts()), Bad: float64(l.GetBad())})
-		if l.GetSharePercent() > 0 {
-			trouble[leaf] = float64(l.GetSharePercent()) / 100
+		if l.GetSharePercent() > 100 {
+			return nil, errs.New(errs.KindInvalid, "run the same release on all VMs", "leaf %s is told with %d%% of its attempts bad", l.GetId(), l.GetSharePercent())
 		}
+		out[leaves.Incarnation{ID: l.GetId(), BornMS: l.GetBornMs()}] = float64(l.GetSharePercent()) / 100
 	}
-	return list, trouble, nil
+	return out, nil
 }
 
 func decodeNews(data []byte) (news, error) {
@@ -77,9 +87,12 @@
 		}
 		n.leaves = append(n.leaves, decodeLeaf(l))
 	}
-	n.troubleVersion, n.toldTrouble = x.GetTroubleVersion(), x.GetTrouble() != nil
+	n.troubleVersion, n.toldTrouble = x.GetTroubleVersion(), x.GetGathered() != nil || x.GetTrouble() != nil
 	var err error
-	if n.gathered, n.trouble, err = decodeEvidence(x.GetTrouble()); err != nil {
+	if n.gathered, err = decodeEvidence(x.GetGathered()); err != nil {
+		return news{}, err
+	}
+	if n.trouble, err = decodeTrouble(x.GetTrouble()); err != nil {
 		return news{}, err
 	}
 	for _, vm := range x.GetControlVms() {
--- a/internal/modules/membership/module.go
+++ b/internal/modules/membership/module.go
@@ -65,47 +65,27 @@
 )
 
 type (
-	scanEvent struct{}
-	// newsEvent brings the answer of a control VM.
-	newsEvent struct {
-		from model.VMName
-		news news
-	}
+	scanEvent  struct{}
 	peersEvent struct{}
 )
 
-// news is a decoded answer of a control VM.
-type news struct {
-	incarnation uint64
-	position    uint64
-	complete    bool
-	leaves      []leaves.Leaf
-	routes      *routes.Table
-	entryVMs    int
-	controlVMs  []model.VMName
-	// troubleVersion is the version of what the control VM knows of leaves in trouble. It is listed in trouble, or in gathered
-	// for control VMs, when toldTrouble is set.
-	troubleVersion uint64
-	toldTrouble    bool
-	trouble        leaves.Trouble
-	gathered       []leaves.Evidence
-	// light says that leaves and routes were not asked for.
-	light bool
-}
-
 // source is what one control VM told this VM.
 type source struct {
 	// full says that leaves and routes are taken from it. The goroutine that follows it reads this.
 	full atomic.Bool
-	// first says that leaves in trouble are taken from it, and that it gets the reports of this VM.
-	first    atomic.Bool
-	copy     leaves.Copy
+	copy leaves.Copy
+	// trouble is what an entry VM was told of leaves in trouble, and gathered what a control VM was told.
+	trouble  leaves.Trouble
+	gathered []leaves.Evidence
 	entryVMs int
 	contact  time.Time
 	// told says that the control VM has answered at least once.
 	told bool
 }
 
+// answers reports whether the control VM has answered lately.
+func (s *source) answers(now time.Time) bool { return now.Sub(s.contact) <= watchTimeout }
+
 // Module follows control VMs and, on control VMs, answers those that follow.
 type Module struct {
 	settings    *settings.Settings
@@ -208,6 +188,9 @@
 		m.recall(now, known)
 		m.followAll()
 		m.control.After(scanInterval, scanEvent{})
+		if m.controls {
+			m.control.After(troubleInterval, troubleEvent{})
+		}
 	})
 }
 
@@ -227,9 +210,9 @@
 		m.take(now, x)
 	case reportEvent:
 		m.pool.board.Report(now, x.list)
-		m.judgeSoon()
 	case troubleEvent:
 		m.judgeTrouble(now)
+		m.control.After(troubleInterval, troubleEvent{})
 	case peersEvent:
 		m.followAll()
 		m.chooseSources(now)
@@ -238,70 +221,6 @@
 	}
 }
 
-// take takes over the news of a control VM.
-func (m *Module) take(now time.Time, x newsEvent) {
-	s := m.sources[x.from]
-	if s == nil {
-		return
-	}
-	if !s.told {
-		s.told = true
-		_ = level.Info(m.logger).Log("msg", "control VM answers", "from", x.from, "leaves", len(x.news.leaves), "entry_vms", x.news.entryVMs)
-	}
-	s.contact = now
-	if x.news.light {
-		m.dropCopy(now, s)
-	}
-	for _, vm := range x.news.controlVMs {
-		m.addControl(vm)
-	}
-	m.followAll()
-	m.takeRoutes(x.from, x.news.routes)
-	if x.news.toldTrouble {
-		m.takeTrouble(now, s, x)
-	}
-	if m.controls {
-		m.merge(now, x)
-		return
-	}
-	if !x.news.light {
-		s.copy.Apply(x.news.leaves, x.news.complete)
-	}
-	if !x.news.light && (len(x.news.leaves) > 0 || x.news.complete) {
-		m.logLeaves(x.from, x.news.leaves)
-		m.join(now)
-	}
-	if s.entryVMs != x.news.entryVMs {
-		s.entryVMs = x.news.entryVMs
-		m.countEntryVMs(now)
-	}
-	m.becomeReady()
-}
-
-// merge lets a control VM take over what another one hears from leaves.
-func (m *Module) merge(now time.Time, x newsEvent) {
-	before := m.table.Position()
-	for _, l := range x.news.leaves {
-		m.table.Merge(now, x.from, l)
-	}
-	if m.table.Position() != before {
-		m.announce()
-	}
-}
-
-// recall takes over the leaves that were known before a restart. They count as heard from here, and lapse unless they are
-// heard from again somewhere.
-func (m *Module) recall(now time.Time, known memory) {
-	for _, l := range known.leaves {
-		l.Origin = m.self
-		m.table.Merge(now, m.self, l)
-	}
-	m.recalledVMs = known.entryVMs
-	if len(known.leaves) > 0 {
-		_ = level.Info(m.logger).Log("msg", "leaves recalled from disk", "leaves", len(known.leaves), "entry_vms", known.entryVMs)
-	}
-}
-
 // announce answers all watches that wait.
 func (m *Module) announce() {
 	close(m.changed)
@@ -350,15 +269,14 @@
 // scan lets silent leaves, entry VMs and control VMs lapse.
 func (m *Module) scan(now time.Time) {
 	m.chooseSources(now)
-	m.logTrouble(now)
 	if !m.controls {
+		m.useTrouble(now)
 		m.countEntryVMs(now)
 		m.forgetSources(now)
 		return
 	}
 	// The event of a change may have found the queue full.
 	m.takeRoutes(m.self, m.state.Table())
-	m.dropTrouble(now)
 	before := m.table.Position()
 	m.table.Scan(now, scanInterval, m.contact)
 	if m.table.Position() != before {
@@ -382,29 +300,7 @@
 	m.gauges.entryVMs.Update(float64(len(m.entrySeen)))
 }
 
-// knownEntryVMs returns the number of entry VMs on a control VM, or 0 while it is unknown. For some time after a restart it is
-// the one from before: entry VMs that are restarted as well would otherwise take larger parts of what they share.
-func (m *Module) knownEntryVMs(now time.Time) int {
-	if now.Sub(m.started) > countAfter {
-		return len(m.entrySeen)
-	}
-	return m.recalledVMs
-}
-
 // ContributeView implements kernel.ViewContributor.
 func (m *Module) ContributeView(_ time.Time, v *kernel.View) {
 	v.Routes, v.Leaves, v.EntryVMs, v.LeafTrouble = m.routes, m.index, m.entryVMs, m.pool.inForce
 }
-
-// maxLeafLines bounds the lines about leaves of one answer.
-const maxLeafLines = 20
-
-func (m *Module) logLeaves(from model.VMName, list []leaves.Leaf) {
-	for i, l := range list {
-		if i == maxLeafLines {
-			_ = level.Info(m.logger).Log("msg", "further leaves changed", "from", from, "lines_left_out", len(list)-i)
-			return
-		}
-		_ = level.Info(m.logger).Log("msg", "leaf changed", "from", from, "leaf", l.ID, "service", l.Service, "address", l.Address, "state", l.State, "born_ms", l.BornMS, "sequence", l.Sequence)
-	}
-}
--- a/internal/modules/membership/sources.go
+++ b/internal/modules/membership/sources.go
@@ -42,7 +42,7 @@
 	}
 	rank := func(vm model.VMName) int {
 		switch s := m.sources[vm]; {
-		case !connected[vm] || s.told && now.Sub(s.contact) > watchTimeout:
+		case !connected[vm] || s.told && !s.answers(now):
 			return 2
 		case zones[vm] != m.zone:
 			return 1
@@ -56,14 +56,10 @@
 		if s := m.sources[vm]; s.full.Swap(full) != full {
 			_ = level.Info(m.logger).Log("msg", "source of leaves and routes changed", "from", vm, "full", full)
 		}
-		m.sources[vm].first.Store(i == 0)
 	}
-	if m.controls || len(order) == 0 || order[0] == m.reportTo() {
-		return
-	}
-	m.pool.reportTo.Store(&order[0])
-	if len(m.pool.inForce) > 0 {
-		m.setTrouble(now, order[0], nil) // The other control VM tells what it knows.
+	if !m.controls && len(order) > 0 && order[0] != m.first() {
+		m.pool.first.Store(&order[0])
+		m.useTrouble(now)
 	}
 }
 
@@ -79,7 +75,7 @@
 		return
 	}
 	for _, other := range m.sources {
-		if other != s && other.full.Load() && other.copy.Leaves != nil && now.Sub(other.contact) < watchTimeout {
+		if other != s && other.full.Load() && other.copy.Leaves != nil && other.answers(now) {
 			s.copy = leaves.Copy{}
 			m.join(now)
 			return
@@ -122,7 +118,7 @@
 func (m *Module) forgetSources(now time.Time) {
 	answering := false
 	for _, s := range m.sources {
-		answering = answering || now.Sub(s.contact) < watchTimeout
+		answering = answering || s.answers(now)
 	}
 	for vm, s := range m.sources {
 		if answering && s.told && now.Sub(s.contact) > forgetSource {
--- a/internal/modules/membership/trouble.go
+++ b/internal/modules/membership/trouble.go
@@ -29,8 +29,6 @@
 	troubleInterval = 250 * time.Millisecond
 	// gatherInterval bounds how often a control VM tells the others, since bytes between availability zones are dear.
 	gatherInterval = 500 * time.Millisecond
-	// maxAttempts is above what all entry VMs together send to one leaf within the time that evidence counts.
-	maxAttempts = 1e6
 	// troubleLineInterval bounds the lines about leaves in trouble, which change with nearly every judgement on a bad day.
 	troubleLineInterval = time.Second
 	// maxTroubleNames bounds the leaves that such a line names.
@@ -43,53 +41,47 @@
 	reportEvent struct{ list []leaves.Evidence }
 )
 
-// pool is what the VMs together see of leaves. It belongs to the control goroutine, apart from reportTo.
+// pool is what the VMs together see of leaves. It belongs to the control goroutine, apart from first.
 type pool struct {
 	// inForce holds the leaves in trouble. From is the control VM that told of them, or this VM itself if it is one.
 	inForce leaves.Trouble
 	from    model.VMName
-	// board and version, the version of inForce, are used on control VMs only.
+	// logged is what the last line said, at loggedAt.
+	logged   leaves.Trouble
+	loggedAt time.Time
+	// first is the control VM that tells an entry VM of leaves in trouble and gets its reports. Other goroutines read it.
+	first atomic.Pointer[model.VMName]
+
+	// The following fields are used on control VMs only. Version is the version of inForce.
 	board   *leaves.TroubleBoard
 	version uint64
-	// gathered is what entry VMs reported to this control VM, as the others have been told since gatheredAt.
+	// gathered is what entry VMs reported to this VM, as other control VMs have been told since gatheredAt.
 	gathered        []leaves.Evidence
 	gatheredAt      time.Time
 	gatheredVersion uint64
-	// changed is closed when one of the versions has changed. judging says that the board is judged again soon.
+	// changed is closed when one of the versions has changed.
 	changed chan struct{}
-	judging bool
-	// logged is what the last line said, at loggedAt.
-	logged   leaves.Trouble
-	loggedAt time.Time
-	// reportTo is the control VM that gets the reports of this VM. Traffic goroutines read it.
-	reportTo atomic.Pointer[model.VMName]
 }
 
 func (p *pool) init() { p.board, p.changed = leaves.NewTroubleBoard(), make(chan struct{}) }
 
 // Report implements kernel.LeafReporter.
 func (m *Module) Report(list []leaves.Evidence) {
-	if m.controls {
-		if !m.control.Post(reportEvent{list}) {
-			_ = level.Debug(m.logger).Log("msg", "report of leaves dropped because the control queue is full", "leaves", len(list))
-		}
-		return
-	}
-	to := m.reportTo()
 	data, err := proto.Marshal(encodeEvidence(list))
 	if err != nil {
 		_ = level.Error(m.logger).Log("msg", "report of leaves cannot be encoded", "err", err)
 		return
 	}
-	if to == "" || !m.peers.Send(to, kernel.PeerMessage{Kind: kindReport, Payload: data}) {
+	if to := m.first(); to == "" || !m.peers.Send(to, kernel.PeerMessage{Kind: kindReport, Payload: data}) {
 		// The loss of the control VM has a line of its own, and the next report goes to another one.
 		_ = level.Debug(m.logger).Log("msg", "report of leaves dropped because the control VM is not reachable", "to", to, "leaves", len(list))
 	}
 }
 
-// reportTo returns the control VM that gets the reports of this VM, or nothing before one is known.
-func (m *Module) reportTo() model.VMName {
-	if vm := m.pool.reportTo.Load(); vm != nil {
+// first returns the control VM that tells this VM of leaves in trouble and gets its reports. It is empty on control VMs, and
+// before one is known.
+func (m *Module) first() model.VMName {
+	if vm := m.pool.first.Load(); vm != nil {
 		return *vm
 	}
 	return ""
@@ -101,77 +93,58 @@
 	if err := proto.Unmarshal(payload, &x); err != nil {
 		return nil, errs.Wrap(err, errs.KindInvalid, "run the same release on all VMs", "a report of leaves cannot be decoded")
 	}
-	list, _, err := decodeEvidence(&x)
+	list, err := decodeEvidence(&x)
 	if err != nil {
 		return nil, err
 	}
 	return nil, m.control.PostWait(ctx, reportEvent{list})
 }
 
-// judgeSoon has the board judged after troubleInterval, unless this will happen anyway.
-func (m *Module) judgeSoon() {
-	if !m.pool.judging {
-		m.pool.judging = true
-		m.control.After(troubleInterval, troubleEvent{})
-	}
-}
-
-// judgeTrouble judges the board, and tells those that watch what has changed.
+// judgeTrouble judges what was reported, and tells those that watch what has changed.
 func (m *Module) judgeTrouble(now time.Time) {
-	m.pool.judging = false
-	changed, postponed := false, false
-	if gathered := m.pool.board.Gathered(now); !slices.Equal(gathered, m.pool.gathered) {
-		postponed = now.Sub(m.pool.gatheredAt) < gatherInterval
-		if !postponed {
-			m.pool.gathered, m.pool.gatheredAt, changed = gathered, now, true
-			m.pool.gatheredVersion++
+	changed := false
+	gathered := m.pool.board.Gathered(now)
+	if now.Sub(m.pool.gatheredAt) >= gatherInterval && !slices.Equal(gathered, m.pool.gathered) {
+		m.pool.gathered, m.pool.gatheredAt, changed = gathered, now, true
+		m.pool.gatheredVersion++
+	}
+	var others [][]leaves.Evidence
+	for _, s := range m.sources {
+		if s.answers(now) {
+			others = append(others, s.gathered)
 		}
 	}
-	if trouble := m.pool.board.Trouble(now); !maps.Equal(trouble, m.pool.inForce) {
-		m.setTrouble(now, m.self, trouble)
+	if m.setTrouble(m.self, m.pool.board.Trouble(now, others...)) {
 		m.pool.version++
 		changed = true
 	}
+	m.logTrouble(now)
 	if changed {
 		close(m.pool.changed)
 		m.pool.changed = make(chan struct{})
 	}
-	if postponed || !m.pool.board.Idle() {
-		m.judgeSoon()
-	}
 }
 
-// takeTrouble takes over what a control VM knows of leaves in trouble.
-func (m *Module) takeTrouble(now time.Time, s *source, x newsEvent) {
-	switch {
-	case m.controls:
-		m.pool.board.Learn(x.from, x.news.gathered)
-		m.judgeSoon()
-	case s.first.Load():
-		m.setTrouble(now, x.from, x.news.trouble)
-	}
-}
-
-// dropTrouble forgets what control VMs have told that do not answer any more.
-func (m *Module) dropTrouble(now time.Time) {
-	for vm, s := range m.sources {
-		if s.told && now.Sub(s.contact) > watchTimeout {
-			if m.pool.board.Forget(vm) {
-				m.judgeSoon()
-			}
-		}
+// useTrouble puts what the first control VM has told into force on an entry VM. What is old is not used, since leaves would be
+// avoided for as long as no control VM answers.
+func (m *Module) useTrouble(now time.Time) {
+	var trouble leaves.Trouble
+	if s := m.sources[m.first()]; s != nil && s.answers(now) {
+		trouble = s.trouble
 	}
+	m.setTrouble(m.first(), trouble)
+	m.logTrouble(now)
 }
 
-// setTrouble puts another set of leaves in trouble into force.
-func (m *Module) setTrouble(now time.Time, from model.VMName, trouble leaves.Trouble) {
+// setTrouble puts a set of leaves in trouble into force, and reports whether it is another one.
+func (m *Module) setTrouble(from model.VMName, trouble leaves.Trouble) bool {
 	if maps.Equal(m.pool.inForce, trouble) {
-		return
+		return false
 	}
 	m.pool.inForce, m.pool.from = trouble, from
 	m.gauges.trouble.Update(float64(len(trouble)))
 	m.control.MarkDirty()
-	m.logTrouble(now)
+	return true
 }
 
 // logTrouble writes a line if other leaves are in trouble than the last one says, unless that one is very young.
--- a/internal/modules/membership/trouble_test.go
+++ b/internal/modules/membership/trouble_test.go
@@ -30,7 +30,7 @@
 	require.NoError(t, err)
 	n, err := decodeNews(data)
 	require.NoError(t, err)
-	n.light = true
+	n.light, n.askedTrouble = true, req.GetTrouble()
 	to.take(now, newsEvent{m.self, n})
 	return n
 }
@@ -39,9 +39,8 @@
 func TestTroubleReachesAllVMs(t *testing.T) {
 	a, b, entry := newControl("a"), newControl("b"), newModule()
 	entry.chooseSources(start)
-	require.Equal(t, model.VMName("b"), entry.reportTo(), "the control VM of the own availability zone")
+	require.Equal(t, model.VMName("b"), entry.first(), "the control VM of the own availability zone")
 	a.HandleEvent(start, reportEvent{[]leaves.Evidence{{Leaf: sick, Attempts: 40, Bad: 38}}})
-	require.True(t, a.pool.judging)
 	woken := a.pool.changed
 	a.HandleEvent(start, troubleEvent{})
 	select {
@@ -85,12 +84,9 @@
 	version := a.pool.gatheredVersion
 	report(start.Add(troubleInterval), "j")
 	require.Equal(t, version, a.pool.gatheredVersion)
-	require.True(t, a.pool.judging)
 	a.HandleEvent(start.Add(gatherInterval), troubleEvent{})
 	require.Equal(t, version+1, a.pool.gatheredVersion)
-	for at := start.Add(time.Minute); a.pool.judging; at = at.Add(troubleInterval) {
-		a.HandleEvent(at, troubleEvent{})
-	}
+	a.HandleEvent(start.Add(time.Minute), troubleEvent{})
 	require.Empty(t, a.pool.gathered)
 	a.tell(t, b, start, req)
 	b.HandleEvent(start, troubleEvent{})
@@ -108,24 +104,73 @@
 	b.tell(t, entry, start, &membershippb.WatchRequest{Trouble: true, Light: true})
 	require.NotEmpty(t, entry.pool.inForce)
 	lost := start.Add(watchTimeout + time.Second)
-	b.dropTrouble(lost)
 	b.HandleEvent(lost, troubleEvent{})
 	require.Empty(t, b.pool.inForce)
 	entry.chooseSources(lost)
-	require.NotEqual(t, model.VMName("b"), entry.reportTo())
+	require.NotEqual(t, model.VMName("b"), entry.first())
 	require.Empty(t, entry.pool.inForce)
 }
 
+// Guards against leaves that stay avoided for as long as no control VM can be reached, although they are well again.
+func TestOldTroubleIsNotUsed(t *testing.T) {
+	a, entry := newControl("b"), newModule()
+	entry.sources = map[model.VMName]*source{"b": {}}
+	entry.peers = fakePeers{{VM: "b", AvailabilityZone: "z2", Connected: true, Control: true}}
+	a.HandleEvent(start, reportEvent{[]leaves.Evidence{{Leaf: sick, Attempts: 40, Bad: 38}}})
+	a.HandleEvent(start, troubleEvent{})
+	entry.chooseSources(start)
+	a.tell(t, entry, start, &membershippb.WatchRequest{Trouble: true, Light: true})
+	var v kernel.View
+	entry.ContributeView(start, &v)
+	require.NotEmpty(t, v.LeafTrouble)
+	entry.scan(start.Add(watchTimeout + time.Second))
+	entry.ContributeView(start, &v)
+	require.Empty(t, v.LeafTrouble)
+}
+
+// Guards against trouble that is forgotten while a control VM does not answer for a moment, and is not told again, since it has
+// not changed.
+func TestUnchangedTroubleIsUsedAgain(t *testing.T) {
+	a, b, entry := newControl("a"), newControl("b"), newModule()
+	a.HandleEvent(start, reportEvent{[]leaves.Evidence{{Leaf: sick, Attempts: 40, Bad: 38}}})
+	a.HandleEvent(start, troubleEvent{})
+	toControl := &membershippb.WatchRequest{Control: true, Trouble: true}
+	n := a.tell(t, b, start, toControl)
+	toControl.Incarnation, toControl.TroubleVersion = 7, n.troubleVersion
+	b.HandleEvent(start, troubleEvent{})
+	entry.chooseSources(start)
+	toEntry := &membershippb.WatchRequest{Trouble: true, Light: true}
+	n = b.tell(t, entry, start, toEntry)
+	toEntry.Incarnation, toEntry.TroubleVersion = 7, n.troubleVersion
+
+	later := start.Add(watchTimeout + time.Second)
+	b.HandleEvent(later, troubleEvent{})
+	entry.chooseSources(later)
+	a.tell(t, b, later, toControl)
+	b.HandleEvent(later, troubleEvent{})
+	b.tell(t, entry, later, toEntry)
+	entry.chooseSources(later)
+	b.tell(t, entry, later, toEntry)
+	require.NotEmpty(t, b.pool.inForce)
+	var v kernel.View
+	entry.ContributeView(later, &v)
+	require.NotEmpty(t, v.LeafTrouble)
+}
+
 // Guards against a report from another release that spoils what is known of a leaf for good.
 func TestReportIsChecked(t *testing.T) {
 	m := newControl("a")
-	for _, x := range []*membershippb.LeafEvidence{{Attempts: 1, Bad: 2}, {Attempts: math.MaxUint32}, {SharePercent: 101}} {
+	for _, x := range []*membershippb.LeafEvidence{{Attempts: 1, Bad: 2}, {Attempts: math.MaxUint32}} {
 		data, err := proto.Marshal(&membershippb.LeafReport{Leaves: []*membershippb.LeafEvidence{x}})
 		require.NoError(t, err)
 		_, err = m.takeReport(context.Background(), "e", data)
 		require.Equal(t, errs.KindInvalid, errs.KindOf(err), x)
 	}
-	_, err := m.takeReport(context.Background(), "e", []byte{0xff})
+	data, err := proto.Marshal(&membershippb.WatchReply{Trouble: &membershippb.LeafTrouble{Leaves: []*membershippb.TroubledLeaf{{SharePercent: 101}}}})
+	require.NoError(t, err)
+	_, err = decodeNews(data)
+	require.Equal(t, errs.KindInvalid, errs.KindOf(err))
+	_, err = m.takeReport(context.Background(), "e", []byte{0xff})
 	require.Equal(t, errs.KindInvalid, errs.KindOf(err))
 }
 
@@ -133,7 +178,8 @@
 func TestTroubleLinesAreBounded(t *testing.T) {
 	m := newModule()
 	for i := range 10 {
-		m.setTrouble(start.Add(time.Duration(i)*troubleInterval/10), "a", leaves.Trouble{{ID: string(rune('a' + i))}: 0.5})
+		m.setTrouble("a", leaves.Trouble{{ID: string(rune('a' + i))}: 0.5})
+		m.logTrouble(start.Add(time.Duration(i) * troubleInterval / 10))
 	}
 	require.Len(t, m.pool.logged, 1)
 	require.Contains(t, m.pool.logged, leaves.Incarnation{ID: "a"})
--- a/internal/modules/membership/watch.go
+++ b/internal/modules/membership/watch.go
@@ -28,7 +28,8 @@
 			// What was told before is not kept up to date by a light watch.
 			req.Light, req.Position, req.Incarnation = light, 0, 0
 		}
-		if trouble := m.controls || s.first.Load(); trouble != req.Trouble {
+		if trouble := m.controls || m.first() == vm; trouble != req.Trouble {
+			// What was told before is dropped with the first answer to a watch that does not ask for it.
 			req.Trouble, req.TroubleVersion = trouble, 0
 		}
 		if v := m.control.View().Routes; v != nil {
@@ -49,7 +50,7 @@
 			_ = level.Info(m.logger).Log("msg", "control VM answers again", "from", vm)
 			lastErr = ""
 		}
-		n.light = light
+		n.light, n.askedTrouble = light, req.Trouble
 		req.Incarnation, req.Position, req.TroubleVersion = n.incarnation, n.position, n.troubleVersion
 		if m.control.PostWait(run, newsEvent{vm, n}) != nil {
 			return
@@ -140,9 +141,10 @@
 		Incarnation: m.incarnation, Position: m.table.Position(), Complete: complete, EntryVms: uint32(m.knownEntryVMs(now)),
 		TroubleVersion: troubleVersion,
 	}
-	if newTrouble && req.GetControl() {
-		reply.Trouble = encodeEvidence(m.pool.gathered)
-	} else if newTrouble {
+	switch {
+	case newTrouble && req.GetControl():
+		reply.Gathered = encodeEvidence(m.pool.gathered)
+	case newTrouble:
 		reply.Trouble = encodeTrouble(m.pool.inForce)
 	}
 	for i := range list {
