--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
+
+	"github.com/chestnuttiller/chestnuttiller/internal/routes"
 )
 
 // finish returns the response, or nil while the request is not finished. open reports whether a part still waits for its
@@ -15,14 +18,14 @@
 	case !open && r.hasEnough() && r.route.IsScatterGather():
 		return r.answer("the other parts have failed")
 	case !open || r.cannotSucceed():
-		return r.failure()
+		return r.failure(now)
 	case r.route.IsScatterGather() && r.hasEnough() && !now.Before(r.partialAt):
 		return r.answer("the objective is reached")
 	case !r.sent && !now.Before(r.refuseAt):
-		return r.refuse("no connection to a leaf is available")
+		return r.refuse(now, "no connection to a leaf is available")
 	case !now.Before(r.deadline):
 		if !r.mayHaveRun() {
-			return r.refuse("no leaf could run the request in time")
+			return r.refuse(now, "no leaf could run the request in time")
 		}
 		return &Response{Kind: KindTimeout, Missing: len(r.parts) - r.answeredParts, Reason: "the deadline has passed"}
 	}
@@ -58,9 +61,9 @@
 	return false
 }
 
-func (r *Run) failure() *Response {
+func (r *Run) failure(now time.Time) *Response {
 	if !r.mayHaveRun() {
-		return r.refuse("no leaf ran it")
+		return r.refuse(now, "no leaf ran it")
 	}
 	if p := &r.parts[0]; !r.route.IsScatterGather() && p.failure != nil && p.failure.Reply != nil && !p.failure.Reply.NotRun {
 		return &Response{Kind: KindLeaf, Reply: p.failure.Reply, Reason: "the leaf replied with a failure"}
@@ -68,11 +71,59 @@
 	return &Response{Kind: KindFailed, Missing: len(r.parts) - r.answeredParts, Reason: "no leaf gave a usable reply"}
 }
 
-// refusalRetryAfter is the delay after which a refused caller may retry: long enough for a leaf's queue to shorten.
-const refusalRetryAfter = 50 * time.Millisecond
+const (
+	// refusalRetryAfter is the delay after which a refused caller may retry: long enough for a leaf's queue to shorten.
+	refusalRetryAfter = 50 * time.Millisecond
+	// maxRetryAfter limits the delay that a caller gets because leaves have asked for a pause, so that one leaf with a wrong
+	// value does not keep callers away after the service has recovered.
+	maxRetryAfter = 10 * time.Second
+)
 
-func (r *Run) refuse(reason string) *Response {
-	return &Response{Kind: KindRefused, RetryAfter: refusalRetryAfter, Missing: len(r.parts), Reason: reason}
+// refuse returns the refusal of the request. Where leaves have asked for a pause, the caller may retry once enough of them
+// take requests again.
+func (r *Run) refuse(now time.Time, reason string) *Response {
+	var pauses []time.Time
+	for i := range r.parts {
+		if p := &r.parts[i]; p.reply == nil && !p.pausedUntil.IsZero() {
+			pauses = append(pauses, p.pausedUntil)
+		}
+	}
+	return &Response{Kind: KindRefused, RetryAfter: retryAfter(now, r.route, pauses), Missing: len(r.parts), Reason: reason}
+}
+
+// retryAfter returns when a refused caller may retry, given the ends of the pauses of shards: when so many of the pauses have
+// ended that the other shards may be missing.
+func retryAfter(now time.Time, route *routes.Route, pauses []time.Time) time.Duration {
+	slices.SortFunc(pauses, time.Time.Compare)
+	needed := len(pauses)
+	if route.IsScatterGather() {
+		for needed > 0 && meetsCoverage(route, len(route.Shards)-len(pauses)+needed-1) {
+			needed--
+		}
+	}
+	if needed == 0 {
+		return refusalRetryAfter
+	}
+	return min(max(pauses[needed-1].Sub(now), refusalRetryAfter), maxRetryAfter)
+}
+
+// refusePaused returns the refusal of a request of which nothing was sent, if too many of its shards, or the leaves of its service,
+// have asked for a pause that ends after an attempt would have to be sent. It returns nil if the request can be sent.
+func (r *Run) refusePaused(now time.Time) *Response {
+	var pauses []time.Time
+	for i := range r.parts {
+		if end := r.env.NextReturn(now, r.parts[i].service); end.After(r.lastStart()) {
+			pauses = append(pauses, end)
+		}
+	}
+	left := len(r.parts) - len(pauses)
+	if len(pauses) == 0 || left > 0 && meetsCoverage(r.route, left) {
+		return nil
+	}
+	return &Response{
+		Kind: KindRefused, RetryAfter: retryAfter(now, r.route, pauses), Missing: len(r.parts),
+		Reason: fmt.Sprintf("the leaves of %d services have asked for a pause", len(pauses)),
+	}
 }
 
 // Describe lists the attempts at the parts without a reply: the service, and for each attempt its cause, the leaf with
@@ -95,7 +146,9 @@
 		switch {
 		case p.budgetExhausted:
 			b.WriteString("budget of extra attempts used up")
-		case len(p.attempts) == 0 && !r.env.HasUntried(p.service, nil):
+		case !p.pausedUntil.IsZero():
+			fmt.Fprintf(&b, "leaves have asked for a pause until %s", p.pausedUntil.UTC().Format(time.RFC3339Nano))
+		case len(p.attempts) == 0 && !r.env.HasUntried(now, p.service, nil):
 			b.WriteString("the service has no leaf")
 		case p.waiting:
 			b.WriteString("no connection to a leaf is available")
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -29,8 +29,12 @@
 	// Choose returns the leaf of a service that is expected to reply first, or nil when none has an available
 	// connection. tried lists the leaves to which the part was sent already.
 	Choose(now time.Time, service model.ServiceName, tried []*leaves.Member) *leaves.Member
-	// HasUntried reports whether the service has a leaf that was not tried, with or without an available connection.
-	HasUntried(service model.ServiceName, tried []*leaves.Member) bool
+	// HasUntried reports whether the service has a leaf that was not tried and that takes requests, with or without an
+	// available connection.
+	HasUntried(now time.Time, service model.ServiceName, tried []*leaves.Member) bool
+	// NextReturn returns when the first of the leaves of a service that have asked for a pause takes requests again. It is
+	// zero when none has, or when another leaf takes requests now.
+	NextReturn(now time.Time, service model.ServiceName) time.Time
 	// CountFirst counts a first attempt at a service. TryExtra counts an extra attempt and reports true if the budget of the
 	// service allows it, and reports false otherwise.
 	CountFirst(now time.Time, service model.ServiceName)
@@ -81,6 +85,8 @@
 	waiting bool
 	// retryAt is when the leaves, none of which ran the request, are tried again. It is zero before all were tried.
 	retryAt time.Time
+	// pausedUntil is the end of the pause that the leaves have asked for, when it is what the part failed for.
+	pausedUntil time.Time
 	// budgetExhausted reports whether the budget refused an extra attempt.
 	budgetExhausted bool
 }
@@ -136,6 +142,11 @@
 // Step has to be called again. It is called at the start, after each AttemptEnded, and when a connection to a leaf is
 // available again.
 func (r *Run) Step(now time.Time) (sends []Send, response *Response, wake time.Time) {
+	if !r.sent {
+		if response = r.refusePaused(now); response != nil {
+			return nil, response, now
+		}
+	}
 	wake = r.deadline
 	open := false
 	for i := range r.parts {
@@ -215,7 +226,7 @@
 	}
 	if leaf == nil {
 		// A part whose leaves were all tried fails; one whose untried leaves have no available connection waits.
-		p.waiting = r.env.HasUntried(p.service, p.tried) || len(p.attempts) == 0 && now.Before(r.refuseAt)
+		p.waiting = r.env.HasUntried(now, p.service, p.tried) || len(p.attempts) == 0 && now.Before(r.refuseAt)
 		p.failed = !p.waiting
 		return sends
 	}
@@ -235,14 +246,23 @@
 	return r.send(now, i, leaf, reason, sends)
 }
 
-// retryAllLeaves lets all leaves of a part be tried again after a delay, if it was sent to all of them and none ran it. It
-// reports whether this is so.
+// retryAllLeaves lets all leaves of a part be tried again after a delay, or at the end of the pause that they have asked for, if
+// it was sent to all that take requests and none ran it. It reports whether the part needs no attempt now; a part whose leaves are
+// paused for too long has failed then.
 func (r *Run) retryAllLeaves(now time.Time, p *part) bool {
-	until := r.refuseAt
-	if r.route.IsScatterGather() {
-		until = r.partialAt // The replies of the other parts are of use only with this one.
+	until := r.lastStart()
+	if r.env.HasUntried(now, p.service, p.tried) || !now.Before(until) {
+		return false
 	}
-	if len(p.attempts) == 0 || r.env.HasUntried(p.service, p.tried) || !now.Before(until) {
+	next := now.Add(roundDelay)
+	if end := r.env.NextReturn(now, p.service); !end.IsZero() {
+		p.pausedUntil = end
+		if !end.Before(until) {
+			p.failed = true // The leaves want no request for longer than this one can wait.
+			return true
+		}
+		next = end
+	} else if len(p.attempts) == 0 {
 		return false
 	}
 	for i := range p.attempts {
@@ -250,10 +270,18 @@
 			return false
 		}
 	}
-	p.tried, p.retryAt = nil, now.Add(roundDelay)
+	p.tried, p.retryAt = nil, next
 	return true
 }
 
+// lastStart returns until when a part waits for leaves that do not take it now.
+func (r *Run) lastStart() time.Time {
+	if r.route.IsScatterGather() {
+		return r.partialAt // The replies of the other parts are of use only with this one.
+	}
+	return r.refuseAt
+}
+
 func (r *Run) send(now time.Time, i int, leaf *leaves.Member, reason cause, sends []Send) []Send {
 	p := &r.parts[i]
 	p.attempts = append(p.attempts, attempt{leaf: leaf, cause: reason, started: now})
@@ -313,6 +341,9 @@
 	}
 	if result.Reply != nil && result.Reply.Succeeded() {
 		if p.reply == nil {
+			if r.route.IsScatterGather() {
+				result.Reply.Body = Merge([][]byte{result.Reply.Body}, r.route.TopRecords) // The other records are of no use.
+			}
 			p.reply = result.Reply
 			r.answeredParts++
 		}
--- a/internal/forward/run_test.go
+++ b/internal/forward/run_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,13 +22,14 @@
 type fakeEnv struct {
 	leaves        map[model.ServiceName][]*leaves.Member
 	full          map[string]bool
+	paused        map[string]time.Time
 	hedgeDelay    time.Duration
 	extraLeft     int
 	firstAttempts int
 }
 
 func newEnv(services ...model.ServiceName) *fakeEnv {
-	e := &fakeEnv{leaves: map[model.ServiceName][]*leaves.Member{}, full: map[string]bool{}, hedgeDelay: 20 * time.Millisecond, extraLeft: 100}
+	e := &fakeEnv{leaves: map[model.ServiceName][]*leaves.Member{}, full: map[string]bool{}, paused: map[string]time.Time{}, hedgeDelay: 20 * time.Millisecond, extraLeft: 100}
 	for _, s := range services {
 		for _, n := range []string{"1", "2", "3"} {
 			e.leaves[s] = append(e.leaves[s], &leaves.Member{Leaf: leaves.Leaf{ID: string(s) + n, Service: s}})
@@ -49,18 +51,32 @@
 	return out
 }
 
-func (e *fakeEnv) Choose(_ time.Time, s model.ServiceName, tried []*leaves.Member) *leaves.Member {
+func (e *fakeEnv) Choose(now time.Time, s model.ServiceName, tried []*leaves.Member) *leaves.Member {
 	for _, m := range e.untried(s, tried) {
-		if !e.full[m.ID] {
+		if !e.full[m.ID] && !now.Before(e.paused[m.ID]) {
 			return m
 		}
 	}
 	return nil
 }
 
-func (e *fakeEnv) HasUntried(s model.ServiceName, tried []*leaves.Member) bool {
-	return len(e.untried(s, tried)) > 0
+func (e *fakeEnv) HasUntried(now time.Time, s model.ServiceName, tried []*leaves.Member) bool {
+	return slices.ContainsFunc(e.untried(s, tried), func(m *leaves.Member) bool { return !now.Before(e.paused[m.ID]) })
 }
+
+func (e *fakeEnv) NextReturn(now time.Time, s model.ServiceName) (first time.Time) {
+	for _, m := range e.leaves[s] {
+		end := e.paused[m.ID]
+		if !now.Before(end) {
+			return time.Time{}
+		}
+		if first.IsZero() || end.Before(first) {
+			first = end
+		}
+	}
+	return first
+}
+
 func (e *fakeEnv) CountFirst(time.Time, model.ServiceName) { e.firstAttempts++ }
 func (e *fakeEnv) TryExtra(time.Time, model.ServiceName, bool) bool {
 	e.extraLeft--
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -59,6 +59,8 @@
 	// latencyWindow is how long latencies count towards quantiles. It consists of two halves, each of which lasts longer on a
 	// route with few requests, until it holds minLatencySamples.
 	latencyWindow = 10 * time.Second
+	// minTypicalLatency is the least latency that leaves are compared by. Below it the time on this VM outweighs that of the leaf.
+	minTypicalLatency = time.Millisecond
 	// maxLatency is the highest latency that is recorded; greater ones count as this value.
 	maxLatency = time.Minute
 	// minLatencySamples is the number of latencies that a high quantile needs, and minMedianSamples the number for the
@@ -86,8 +88,11 @@
 	// success.
 	shedUntil, ejectedUntil time.Time
 	ejections               int
-	lastUsed                time.Time
-	counts                  attemptCounts
+	// leaving is set once the leaf has replied that it is leaving. Until pausedUntil it asks not to be sent anything.
+	leaving     bool
+	pausedUntil time.Time
+	lastUsed    time.Time
+	counts      attemptCounts
 }
 
 type inFlightAttempt struct {
@@ -148,8 +153,9 @@
 
 // Choose returns the leaf that is expected to reply first among those that were not tried and have an available
 // connection, or nil. An ejected leaf is chosen only when there is no other, or for a single trial attempt once its
-// ejection has ended. Leaves of unresponsive availability zones are chosen only when there is no other. outliers holds
-// the leaves with a high rate of bad attempts across all entry VMs.
+// ejection has ended. Leaves of unresponsive availability zones are chosen only when there is no other. A leaf that is
+// leaving or has asked for a pause is never chosen. outliers holds the leaves with a high rate of bad attempts across
+// all entry VMs.
 func (t *Tracker) Choose(now time.Time, route string, list, tried []*leaves.Member, outliers leaves.Outliers, connections Connections) *leaves.Member {
 	var best, ejected *leaves.Member
 	var bestCost float64
@@ -159,6 +165,9 @@
 			continue
 		}
 		s := t.statsOf(m)
+		if s.refuses(now) {
+			continue
+		}
 		if now.Before(s.ejectedUntil) || s.ejections > 0 && len(s.inFlight) > 0 || t.zoneOf(m.AvailabilityZone).unresponsive {
 			if ejected == nil || s.ejectedUntil.Before(t.statsOf(ejected).ejectedUntil) {
 				ejected = m
@@ -233,10 +242,20 @@
 	s.lastUsed = now
 }
 
+// Verdict is what the result of an attempt changes for its leaf.
+type Verdict struct {
+	// Ejected is for how long the leaf is ejected, or 0.
+	Ejected time.Duration
+	// Paused is for how long the leaf has asked not to be sent anything, or 0.
+	Paused time.Duration
+	// Leaving reports whether this is the first reply in which the leaf states that it is leaving.
+	Leaving bool
+}
+
 // AttemptEnded records the result of an attempt that was started at the given time. A cancelled attempt does not count for or
-// against its leaf, unless the leaf was unresponsive by then. AttemptEnded returns for how long the leaf is ejected because of
-// the result, or 0.
-func (t *Tracker) AttemptEnded(now time.Time, route string, m *leaves.Member, started time.Time, result *AttemptResult, cancelled bool) (ejected time.Duration) {
+// against its leaf, unless the leaf was unresponsive by then. A request that the leaf has turned away with the wish for a pause
+// is no failure of the leaf.
+func (t *Tracker) AttemptEnded(now time.Time, route string, m *leaves.Member, started time.Time, result *AttemptResult, cancelled bool) (v Verdict) {
 	s := t.statsOf(m)
 	if i := slices.IndexFunc(s.inFlight, func(a inFlightAttempt) bool { return a.startedAt.Equal(started) }); i >= 0 {
 		s.inFlight = slices.Delete(s.inFlight, i, i+1)
@@ -252,11 +271,19 @@
 	if unresponsive || result.Refused {
 		s.unansweredAt = started
 	}
+	if r != nil && r.Leaving && !r.WrongLeaf {
+		v.Leaving, s.leaving = !s.leaving, true
+	}
+	if r != nil && !r.WrongLeaf && r.Pause() > 0 {
+		v.Paused = r.Pause()
+		s.pausedUntil = later(s.pausedUntil, now.Add(v.Paused))
+		return v
+	}
 	s.counts.add(result, unresponsive, cancelled, t.typicalLatency(route))
 	switch {
 	case cancelled && r == nil && !unresponsive:
 	case r != nil && r.WrongLeaf:
-		return s.eject(now, maxEjectTime)
+		v.Ejected = s.eject(now, maxEjectTime)
 	case r != nil && r.NotRun:
 		s.shedUntil = now.Add(shedTime)
 		s.observeFailure(now, 1)
@@ -268,10 +295,41 @@
 		s.consecutiveFailures++
 		s.observeFailure(now, 1)
 		if result.Refused || unresponsive || s.consecutiveFailures >= ejectAfter {
-			return s.eject(now, min(minEjectTime<<min(s.ejections, 10), maxEjectTime))
+			v.Ejected = s.eject(now, min(minEjectTime<<min(s.ejections, 10), maxEjectTime))
+		}
+	}
+	return v
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// refuses reports whether the leaf wants no request of this VM.
+func (s *leafStats) refuses(now time.Time) bool { return s.leaving || now.Before(s.pausedUntil) }
+
+// Refuses reports whether the leaf wants no request of this VM: it is leaving, or has asked for a pause.
+func (t *Tracker) Refuses(now time.Time, m *leaves.Member) bool {
+	s := t.leaves[m.Key()]
+	return s != nil && s.refuses(now)
+}
+
+// NextReturn returns when the first of the listed leaves that have asked for a pause may be sent requests again. It is zero
+// when none has, or when another leaf of the list may be sent requests now.
+func (t *Tracker) NextReturn(now time.Time, list []*leaves.Member) (first time.Time) {
+	for _, m := range list {
+		s := t.leaves[m.Key()]
+		switch {
+		case s == nil || !s.refuses(now):
+			return time.Time{}
+		case !s.leaving && (first.IsZero() || s.pausedUntil.Before(first)):
+			first = s.pausedUntil
 		}
 	}
-	return 0
+	return first
 }
 
 // unresponsiveAfter returns the age from which an unanswered attempt on the route means that its leaf is unresponsive.
@@ -310,7 +368,7 @@
 	if err := l.current.RecordValue(min(latency, maxLatency).Microseconds()); err != nil {
 		return
 	}
-	ratio := float64(latency) / float64(typical)
+	ratio := float64(max(latency, minTypicalLatency)) / float64(typical)
 	if s.latencyRatio == 0 {
 		s.latencyRatio, s.latencyRatioAt = ratio, now
 	}
@@ -348,7 +406,7 @@
 	if half.TotalCount() < minSamples {
 		return 0, false
 	}
-	return max(time.Duration(half.ValueAtQuantile(percent))*time.Microsecond, time.Millisecond), true
+	return max(time.Duration(half.ValueAtQuantile(percent))*time.Microsecond, minTypicalLatency), true
 }
 
 // HedgeDelay returns the delay after which an attempt on a route is hedged: a quantile of the latency, but at most a part of
@@ -361,10 +419,10 @@
 	return limit
 }
 
-// Prune removes the observations of leaves that were last used before the given time.
+// Prune removes the observations of leaves that were last used before the given time and whose pause had ended by then.
 func (t *Tracker) Prune(before time.Time) {
 	for k, s := range t.leaves {
-		if len(s.inFlight) == 0 && s.lastUsed.Before(before) {
+		if len(s.inFlight) == 0 && s.lastUsed.Before(before) && s.pausedUntil.Before(before) {
 			delete(t.leaves, k)
 		}
 	}
--- a/internal/forward/tracker_test.go
+++ b/internal/forward/tracker_test.go
@@ -43,7 +43,7 @@
 		x.chosen[m.ID]++
 		end, cancelled := behave(m.ID)
 		x.tracker.AttemptStarted(at(x.now), "r", m)
-		x.ejected = x.tracker.AttemptEnded(at(x.now).Add(end.Latency), "r", m, at(x.now), &end, cancelled)
+		x.ejected = x.tracker.AttemptEnded(at(x.now).Add(end.Latency), "r", m, at(x.now), &end, cancelled).Ejected
 	}
 }
 
@@ -71,6 +71,19 @@
 	require.Positive(t, x.chosen["a"], "it is still tried occasionally")
 }
 
+// Guards against a leaf without a reply yet that gets no requests, because another one replies in less than the least typical
+// latency and counts as faster than a typical leaf.
+func TestFastLeafDoesNotKeepRequestsFromAnother(t *testing.T) {
+	x := newTrackerTrial(2)
+	fast := func(string) (AttemptResult, bool) { return replyAfter(200 * time.Microsecond) }
+	list := x.list
+	x.list = list[:1]
+	x.send(100, 20, fast)
+	x.list = list
+	x.send(100, 20, fast)
+	require.Greater(t, x.chosen["b"], 20, "of 100")
+}
+
 // Guards against an unresponsive leaf that counts as healthy again because the attempts at it were cancelled after
 // other leaves had replied to the requests.
 func TestTrackerAvoidsUnresponsiveLeaf(t *testing.T) {
@@ -136,8 +149,8 @@
 	for _, m := range list[:2] {
 		for i := range ejectAfter {
 			x.AttemptStarted(at(i), "r", m)
-			ejected := x.AttemptEnded(at(i), "r", m, at(i), &lostConnection, false)
-			require.Equal(t, i == ejectAfter-1, ejected == minEjectTime, "the ejection is returned")
+			verdict := x.AttemptEnded(at(i), "r", m, at(i), &lostConnection, false)
+			require.Equal(t, i == ejectAfter-1, verdict.Ejected == minEjectTime, "the ejection is returned")
 		}
 	}
 	require.Equal(t, "c", x.Choose(at(10), "r", list, nil, nil, connections).ID)
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -57,6 +57,11 @@
 	NotRun bool
 	// WrongLeaf reports whether a leaf other than the addressed one replied.
 	WrongLeaf bool
+	// Leaving reports whether the leaf states that it is about to end and gets no further requests.
+	Leaving bool
+	// RetryAfter is how long the leaf, which has turned the request away, asks this VM not to send it anything. It is 0 when
+	// the leaf does not ask for it.
+	RetryAfter time.Duration
 	// Load is nil when the leaf does not report it.
 	Load *Load
 	// IdleTimeout is how long the leaf keeps an idle connection. It is 0 when the leaf does not report it.
@@ -68,6 +73,12 @@
 	return r.Status >= 200 && r.Status < 300 && r.Signature != "" && !r.NotRun
 }
 
+// maxPause limits the pause that a leaf may ask for. A longer one is taken for an error of the leaf.
+const maxPause = time.Hour
+
+// Pause returns for how long this VM sends nothing to the leaf because of the reply.
+func (r *LeafReply) Pause() time.Duration { return min(r.RetryAfter, maxPause) }
+
 // AttemptResult is how an attempt ended.
 type AttemptResult struct {
 	// Reply is nil when there is no complete reply.
--- a/internal/kernel/interfaces.go
+++ b/internal/kernel/interfaces.go
@@ -291,6 +291,9 @@
 
 // LeafReporter sends this VM's evidence about leaves to other VMs.
 type LeafReporter interface {
+	// MarkLeaving removes an incarnation of a leaf that has replied that it is leaving from the views of this VM. No later
+	// heartbeat or table lists it again.
+	MarkLeaving(leaf leaves.Key)
 	// Report sends the evidence since the last report, without waiting. It may get lost.
 	Report(list []leaves.Evidence)
 }
--- a/internal/leaves/index.go
+++ b/internal/leaves/index.go
@@ -51,9 +51,8 @@
 	Count    int
 }
 
-// BuildIndex builds the index from the tables of several control VMs. A member of the previous index is reused while its
-// incarnation, address and service are the same.
-func BuildIndex(now time.Time, tables []*RemoteTable, previous *Index) *Index {
+// Newest returns the newest record of each leaf in the tables of several control VMs.
+func Newest(tables []*RemoteTable) map[string]Leaf {
 	newest := map[string]Leaf{}
 	for _, t := range tables {
 		for id, l := range t.Leaves {
@@ -65,6 +64,12 @@
 			}
 		}
 	}
+	return newest
+}
+
+// BuildIndex builds the index from the newest records of the leaves, without the incarnations that are leaving. A member of the
+// previous index is reused while its incarnation, address and service are the same.
+func BuildIndex(now time.Time, newest map[string]Leaf, leaving func(Key) bool, previous *Index) *Index {
 	members := map[string]*Member{}
 	if previous != nil {
 		for _, list := range previous.Services {
@@ -83,6 +88,9 @@
 		if m == nil || m.BornMS != l.BornMS || m.Address != l.Address || m.Service != l.Service {
 			m = &Member{Leaf: l, WarmAt: now.Add(l.WarmUpLeft)}
 		}
+		if leaving(m.Key()) {
+			continue
+		}
 		if l.State == Ready {
 			out.Services[l.Service] = append(out.Services[l.Service], m)
 		} else {
--- a/internal/leaves/leaves.go
+++ b/internal/leaves/leaves.go
@@ -4,7 +4,10 @@
 
 import (
 	"cmp"
+	"fmt"
+	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/chestnuttiller/chestnuttiller/internal/errs"
@@ -53,6 +56,70 @@
 	Origin model.VMName
 }
 
+const (
+	// maxIDBytes limits the length of the ID of a leaf and of the name of its service.
+	maxIDBytes = 256
+	// maxSlots limits the requests that a leaf runs concurrently.
+	maxSlots = 1 << 16
+	// maxSequence is the greatest integer that every JSON encoder sends unchanged.
+	maxSequence = 1 << 53
+	// maxWarmUp limits the warm-up of a leaf. A longer one counts as this.
+	maxWarmUp = time.Hour
+	// maxClockLead is how far the start of a leaf may lie ahead of the clock of a control VM. A record that is later would
+	// outrank all heartbeats of the leaf with that ID.
+	maxClockLead = 24 * time.Hour
+	// maxHeartbeatsPerMS is how many heartbeats a leaf sends in a millisecond at most. A sequence number that is higher than
+	// this and the age of the incarnation allow would outrank the next heartbeats of the leaf.
+	maxHeartbeatsPerMS = 1
+)
+
+// Check returns an error of kind invalid for a record that no leaf sends, so that it cannot take the place of the record of one. It
+// limits the warm-up time.
+func (l *Leaf) Check() error {
+	address, err := netip.ParseAddrPort(l.Address)
+	switch {
+	case !isToken(l.ID):
+		return l.invalid("the ID has to be 1 to 256 printable ASCII characters without a space")
+	case l.State < Ready || l.State > Expired:
+		return l.invalid("the state %d is unknown", l.State)
+	case l.BornMS < 0 || l.BornMS > maxSequence:
+		return l.invalid("the start time %d is out of range", l.BornMS)
+	case l.Sequence > maxSequence:
+		return l.invalid("the sequence number %d is out of range", l.Sequence)
+	case l.State.ended() && l.Address == "":
+		return nil // The tombstone of a leaf that was not known.
+	case !isToken(string(l.Service)):
+		return l.invalid("the service name has to be 1 to 256 printable ASCII characters without a space")
+	case err != nil || address.Port() == 0 || address.Addr().IsUnspecified() || address.Addr().IsMulticast():
+		return l.invalid("the address %q is not the IP address and port of a VM", l.Address)
+	case l.Slots < 0 || l.Slots > maxSlots:
+		return l.invalid("the number of slots %d is out of range", l.Slots)
+	}
+	l.WarmUpLeft = min(max(l.WarmUpLeft, 0), maxWarmUp)
+	return nil
+}
+
+func (l *Leaf) invalid(format string, args ...any) error {
+	return errs.New(errs.KindInvalid, "look for another program that writes heartbeats", "record of leaf %.64q: %s", l.ID, fmt.Sprintf(format, args...))
+}
+
+// isToken reports whether a name can be part of a header and of a log line as it is.
+func isToken(s string) bool {
+	return s != "" && len(s) <= maxIDBytes && !strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r > '~' })
+}
+
+// checkAge returns an error of kind invalid for a record that claims to be later than any heartbeat of a leaf can be at this time.
+func (l *Leaf) checkAge(now time.Time) error {
+	lead := time.UnixMilli(l.BornMS).Sub(now)
+	if lead > maxClockLead {
+		return l.invalid("the start time %d lies %s ahead", l.BornMS, lead)
+	}
+	if l.BornMS > 0 && l.Sequence > maxHeartbeatsPerMS*uint64((maxClockLead-lead).Milliseconds()) {
+		return l.invalid("the sequence number %d is too high for a leaf that started at %d", l.Sequence, l.BornMS)
+	}
+	return nil
+}
+
 // compareAge orders two records of one leaf, the older first.
 func compareAge(a, b *Leaf) int {
 	return cmp.Or(cmp.Compare(a.BornMS, b.BornMS), cmp.Compare(a.Sequence, b.Sequence))
@@ -66,6 +133,13 @@
 	return x == y
 }
 
+// SameUse reports whether an entry VM would use the leaf of both records in the same way.
+func SameUse(a, b *Leaf) bool {
+	x, y := *a, *b
+	x.Origin, y.Origin = "", ""
+	return equivalent(&x, &y)
+}
+
 // Config holds the time limits of a table.
 type Config struct {
 	// ExpireAfter is the time without a heartbeat after which a leaf expires at the VM that received the last one.
@@ -82,6 +156,8 @@
 	lastContact time.Time
 	// changedAt is the table version of the last change.
 	changedAt uint64
+	// replaced reports whether the leaf was deregistered because another one has claimed its address.
+	replaced bool
 }
 
 // Table holds the leaves of one control VM. Every change increments the version, so that other VMs can request what
@@ -106,11 +182,14 @@
 func (t *Table) Version() uint64 { return t.version }
 
 // ApplyHeartbeat applies a heartbeat that this VM received. An error of kind conflict means that the heartbeat is older than
-// the record in the table and changed nothing.
+// the record in the table, one of kind invalid that no leaf sends such a heartbeat; both changed nothing.
 func (t *Table) ApplyHeartbeat(now time.Time, l Leaf) error {
 	l.Origin = t.self
+	if err := l.checkAge(now); err != nil {
+		return err
+	}
 	if r := t.records[l.ID]; r != nil {
-		if c := compareAge(&l, &r.Leaf); c < 0 || r.State == Deregistered && l.BornMS == r.BornMS {
+		if c := compareAge(&l, &r.Leaf); c < 0 || r.State == Deregistered && l.BornMS == r.BornMS && !t.lostAddressToExpired(r) {
 			return errs.New(errs.KindConflict, "send a heartbeat of the running incarnation", "a later heartbeat of leaf %s has the state %s", l.ID, r.State)
 		}
 	}
@@ -121,28 +200,37 @@
 	return nil
 }
 
-// Deregister ends a leaf at its own request. Without a start time it applies to the incarnation in the table.
-func (t *Table) Deregister(now time.Time, id string, bornMS int64) {
+// Deregister ends a leaf at its own request. Without a start time it applies to the incarnation in the table. An error of kind
+// invalid means that no leaf sends such a request, and that nothing was changed.
+func (t *Table) Deregister(now time.Time, id string, bornMS int64) error {
+	tombstone := Leaf{ID: id, State: Deregistered, BornMS: bornMS, Origin: t.self}
+	if err := tombstone.Check(); err != nil {
+		return err
+	}
+	if err := tombstone.checkAge(now); err != nil {
+		return err
+	}
 	r := t.records[id]
 	if r == nil {
 		// The tombstone keeps a late heartbeat from restoring the leaf.
-		t.store(now, Leaf{ID: id, State: Deregistered, BornMS: bornMS, Origin: t.self})
-		return
+		t.store(now, tombstone)
+		return nil
 	}
 	if bornMS != 0 && bornMS < r.BornMS {
-		return // A later incarnation has already replaced the one that deregisters.
+		return nil // A later incarnation has already replaced the one that deregisters.
 	}
 	l := r.Leaf
 	l.State, l.Origin = Deregistered, t.self
 	l.BornMS = max(l.BornMS, bornMS)
 	t.store(now, l)
+	return nil
 }
 
 // resolveAddress leaves an address to the incarnation that started last, and deregisters the other one. A delayed heartbeat of
 // a leaf that has ended may arrive after another leaf started at its address.
 func (t *Table) resolveAddress(now time.Time, l *Leaf) error {
 	other := t.records[t.byAddress[l.Address]]
-	if other == nil || other.ID == l.ID || other.State == Deregistered {
+	if other == nil || other.ID == l.ID || other.State.ended() {
 		return nil
 	}
 	if other.BornMS > l.BornMS {
@@ -152,10 +240,18 @@
 		replaced := other.Leaf
 		replaced.State, replaced.Origin = Deregistered, t.self
 		t.store(now, replaced)
+		other.replaced = true
 	}
 	return nil
 }
 
+// lostAddressToExpired reports whether a leaf was deregistered because another one had claimed its address, and that one has
+// expired since. A leaf that still sends heartbeats is the owner of the address then.
+func (t *Table) lostAddressToExpired(r *record) bool {
+	other := t.records[t.byAddress[r.Address]]
+	return r.replaced && other != nil && other.ID != r.ID && other.State == Expired
+}
+
 func (t *Table) store(now time.Time, l Leaf) {
 	r := t.records[l.ID]
 	if r == nil {
@@ -165,7 +261,7 @@
 		r.Leaf, r.lastContact = l, now
 		return
 	}
-	r.Leaf, r.lastContact = l, now
+	r.Leaf, r.lastContact, r.replaced = l, now, false
 	t.markChanged(r)
 	if l.State != Deregistered {
 		t.byAddress[l.Address] = l.ID
--- a/internal/leaves/leaves_test.go
+++ b/internal/leaves/leaves_test.go
@@ -23,6 +23,8 @@
 
 func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
 
+func noneLeaving(Key) bool { return false }
+
 func neverContacted(model.VMName) time.Time { return time.Time{} }
 
 // sync merges all records of one table into another, as a watch does.
@@ -38,7 +40,7 @@
 	x := NewTable("a", testConfig)
 	require.NoError(t, x.ApplyHeartbeat(at(0), heartbeat("i", "h:1", 5, 3, Draining)))
 	require.Equal(t, errs.KindConflict, errs.KindOf(x.ApplyHeartbeat(at(1), heartbeat("i", "h:1", 5, 2, Ready))))
-	x.Deregister(at(2), "i", 5)
+	require.NoError(t, x.Deregister(at(2), "i", 5))
 	require.Equal(t, errs.KindConflict, errs.KindOf(x.ApplyHeartbeat(at(3), heartbeat("i", "h:1", 5, 4, Ready))))
 	require.Equal(t, errs.KindConflict, errs.KindOf(x.ApplyHeartbeat(at(3), heartbeat("i", "h:1", 4, 9, Ready))))
 	require.NoError(t, x.ApplyHeartbeat(at(4), heartbeat("i", "h:1", 6, 1, Ready)), "a new incarnation starts its own sequence")
@@ -99,13 +101,13 @@
 	var a, b RemoteTable
 	a.Apply([]Leaf{heartbeat("i", "h:1", 5, 10, Ready), heartbeat("j", "h:2", 5, 10, Expired), heartbeat("k", "h:3", 5, 1, Ready)}, true)
 	b.Apply([]Leaf{heartbeat("i", "h:1", 5, 11, Draining), heartbeat("j", "h:2", 5, 10, Ready)}, true)
-	x := BuildIndex(start, []*RemoteTable{&a, &b}, nil)
+	x := BuildIndex(start, Newest([]*RemoteTable{&a, &b}), noneLeaving, nil)
 	var ids []string
 	for _, m := range x.Services["s"] {
 		ids = append(ids, m.ID)
 	}
 	require.Equal(t, []string{"j", "k"}, ids)
-	y := BuildIndex(start, []*RemoteTable{&a, &b}, x)
+	y := BuildIndex(start, Newest([]*RemoteTable{&a, &b}), noneLeaving, x)
 	require.Same(t, x.Services["s"][0], y.Services["s"][0])
 }
 
--- a/internal/modules/forwarder/decisions.go
+++ b/internal/modules/forwarder/decisions.go
@@ -12,7 +12,8 @@
 const (
 	// successSample is the number of successful requests of which one is logged.
 	successSample = 200
-	// failureLines limits the log lines about failed requests in each second, and those about ejected leaves.
+	// failureLines limits the log lines about failed requests in each second, and those about leaves that get no requests
+	// for a while.
 	failureLines = 50
 )
 
@@ -82,14 +83,28 @@
 	return r.state.Describe(r.module.now())
 }
 
-// logEjection logs that a leaf gets no requests for the time d, and which attempt caused it.
-func (m *Module) logEjection(r *runner, leaf *leaves.Member, result *forward.AttemptResult, ejection time.Duration) {
+// logVerdict counts and logs that a leaf gets no requests for a while, why, and which attempt caused it.
+func (m *Module) logVerdict(r *runner, leaf *leaves.Member, result *forward.AttemptResult, v forward.Verdict) {
+	var msg string
+	var duration time.Duration
+	switch {
+	case v.Leaving:
+		m.metrics.leaving.Inc(1)
+		msg = "leaf is leaving"
+	case v.Paused > 0:
+		m.metrics.pauses.Inc(1)
+		msg, duration = "leaf asked for a pause", v.Paused
+	case v.Ejected > 0:
+		msg, duration = "leaf ejected", v.Ejected
+	default:
+		return
+	}
 	m.mu.Lock()
 	ok, leftOut := m.ejectionLines.allow(m.now(), true)
 	m.mu.Unlock()
 	if !ok {
 		return
 	}
-	_ = level.Warn(m.logger).Log("msg", "leaf ejected", "leaf", leaf.ID, "service", leaf.Service, "address", leaf.Address, "sequence", leaf.Sequence, "for_ms", ejection.Milliseconds(),
+	_ = level.Warn(m.logger).Log("msg", msg, "leaf", leaf.ID, "service", leaf.Service, "address", leaf.Address, "sequence", leaf.Sequence, "for_ms", duration.Milliseconds(),
 		"request", r.req.ID, "attempt_ms", result.Latency.Milliseconds(), "refused", result.Refused, "err", result.Err, "lines_left_out", leftOut)
 }
--- a/internal/modules/forwarder/module.go
+++ b/internal/modules/forwarder/module.go
@@ -76,7 +76,8 @@
 	waiters waiters
 	// prunedAt is when old observations were last removed.
 	prunedAt time.Time
-	// answerLines limits the log lines about answered requests, and ejectionLines those about ejected leaves.
+	// answerLines limits the log lines about answered requests, and ejectionLines those about leaves that get no
+	// requests for a while.
 	answerLines   sampler
 	ejectionLines sampler
 	zones         zoneWatch
@@ -187,6 +188,7 @@
 	scope                             tally.Scope
 	first, retries, hedges, cancelled tally.Counter
 	latency                           tally.Histogram
+	leaving, pauses                   tally.Counter
 	unresponsiveZones                 tally.Gauge
 }
 
@@ -200,6 +202,7 @@
 	return metrics{
 		scope: s, first: attempts("first"), retries: attempts("retry"), hedges: attempts("hedge"),
 		cancelled: s.Counter("attempts_cancelled"), latency: s.Histogram("latency", latencyBuckets),
+		leaving: s.Counter("leaves_leaving"), pauses: s.Counter("leaf_pauses"),
 		unresponsiveZones: s.Gauge("silent_zones"),
 	}
 }
--- a/internal/modules/forwarder/reports_test.go
+++ b/internal/modules/forwarder/reports_test.go
@@ -15,8 +15,16 @@
 
 // fakeReporter stores the reports of a module.
 type fakeReporter struct {
-	mu   sync.Mutex
-	list [][]leaves.Evidence
+	mu      sync.Mutex
+	list    [][]leaves.Evidence
+	leaving []leaves.Key
+}
+
+// MarkLeaving implements kernel.LeafReporter.
+func (x *fakeReporter) MarkLeaving(leaf leaves.Key) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.leaving = append(x.leaving, leaf)
 }
 
 // Report implements kernel.LeafReporter.
--- a/internal/modules/forwarder/runner.go
+++ b/internal/modules/forwarder/runner.go
@@ -114,13 +114,14 @@
 	if a.cancelled {
 		m.metrics.cancelled.Inc(1)
 	}
-	ejected := m.tracker.AttemptEnded(m.now(), r.route.Name, a.leaf, a.startedAt, &result, a.cancelled)
+	verdict := m.tracker.AttemptEnded(m.now(), r.route.Name, a.leaf, a.startedAt, &result, a.cancelled)
 	m.startReports()
 	m.waiters.wake(a.leaf.Service)
 	m.mu.Unlock()
-	if ejected > 0 {
-		m.logEjection(r, a.leaf, &result, ejected)
+	if verdict.Leaving {
+		m.reporter.MarkLeaving(a.leaf.Key())
 	}
+	m.logVerdict(r, a.leaf, &result, verdict)
 	r.results <- attemptResult{a, result}
 }
 
@@ -182,13 +183,21 @@
 }
 
 // HasUntried implements forward.Env.
-func (r *runner) HasUntried(service model.ServiceName, tried []*leaves.Member) bool {
-	for _, x := range r.module.members(service) {
-		if !slices.ContainsFunc(tried, func(t *leaves.Member) bool { return t.ID == x.ID }) {
-			return true
-		}
-	}
-	return false
+func (r *runner) HasUntried(now time.Time, service model.ServiceName, tried []*leaves.Member) bool {
+	m := r.module
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.ContainsFunc(m.members(service), func(x *leaves.Member) bool {
+		return !m.tracker.Refuses(now, x) && !slices.ContainsFunc(tried, func(t *leaves.Member) bool { return t.ID == x.ID })
+	})
+}
+
+// NextReturn implements forward.Env.
+func (r *runner) NextReturn(now time.Time, service model.ServiceName) time.Time {
+	m := r.module
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tracker.NextReturn(now, m.members(service))
 }
 
 // CountFirst implements forward.Env.
--- a/internal/modules/forwarder/zones.go
+++ b/internal/modules/forwarder/zones.go
@@ -138,17 +138,18 @@
 	all.Wait()
 }
 
-// leavesIn returns up to n random leaves of an availability zone.
+// leavesIn returns up to n random leaves of an availability zone that take requests.
 func (m *Module) leavesIn(index *leaves.Index, zone model.AvailabilityZone, n int) (found []*leaves.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
 	for _, list := range index.Services {
 		for _, l := range list {
-			if l.AvailabilityZone == zone {
+			if l.AvailabilityZone == zone && !m.tracker.Refuses(now, l) {
 				found = append(found, l)
 			}
 		}
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.random.Shuffle(len(found), func(i, j int) { found[i], found[j] = found[j], found[i] })
 	return found[:min(n, len(found))]
 }
--- a/internal/modules/leafpool/conn.go
+++ b/internal/modules/leafpool/conn.go
@@ -10,6 +10,7 @@
 
 	"github.com/chestnuttiller/chestnuttiller/internal/errs"
 	"github.com/chestnuttiller/chestnuttiller/internal/forward"
+	"github.com/chestnuttiller/chestnuttiller/internal/readlimit"
 )
 
 // attempt is one attempt at a leaf, from Send to its result.
@@ -57,8 +58,10 @@
 // conn is one connection to a leaf. A goroutine always reads from it, so that a close, and bytes that belong to no
 // request, are detected immediately.
 type conn struct {
-	pool   *pool
-	net    net.Conn
+	pool *pool
+	net  net.Conn
+	// memory charges the bytes of the current reply to the memory for replies. reader reads through it.
+	memory *readlimit.Reader
 	reader *bufio.Reader
 	// usableUntil is the time from which the idle connection is not used again: idleMargin before the leaf may close it, or
 	// surplusIdleTimeout after its last use if the leaf is not preferred. It is zero when neither applies.
@@ -81,7 +84,8 @@
 const readBufferBytes = 4096
 
 func newConn(p *pool, n net.Conn) *conn {
-	return &conn{pool: p, net: n, reader: bufio.NewReaderSize(n, readBufferBytes)}
+	memory := p.module.replyMemory.NewReader(n)
+	return &conn{pool: p, net: n, memory: memory, reader: bufio.NewReaderSize(memory, readBufferBytes)}
 }
 
 // start writes the request of an attempt. A request of more than maxInlineBytes is written on its own goroutine, so that
@@ -137,6 +141,7 @@
 func (c *conn) read() {
 	m := c.pool.module
 	defer c.pool.closed(c)
+	defer c.memory.Release()
 	defer c.net.Close()
 	for {
 		if _, err := c.reader.Peek(1); err != nil {
@@ -155,6 +160,8 @@
 			c.fail(err)
 			return
 		}
+		c.memory.Release()
+		c.pool.observe(reply)
 		released := c.release(reply, reusable)
 		a.finish(reply, nil, true)
 		if !released {
--- a/internal/modules/leafpool/module.go
+++ b/internal/modules/leafpool/module.go
@@ -19,6 +19,7 @@
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
+	"github.com/chestnuttiller/chestnuttiller/internal/readlimit"
 	"github.com/chestnuttiller/chestnuttiller/internal/settings"
 )
 
@@ -56,6 +57,13 @@
 	// replyGrace is how long after the timeout of an attempt its reply may still arrive, since the leaf counts the remaining
 	// time from the arrival of the request.
 	replyGrace = 100 * time.Millisecond
+	// replyMemoryShare is the part of the VM's memory limit that replies may use while they are read. Their buffers hold up
+	// to twice as many bytes as were read.
+	replyMemoryShare = 0.125
+	// defaultReplyMemory applies where the settings give no memory limit, in bytes.
+	defaultReplyMemory = 64 << 20
+	// uncountedReplyBytes is more than most replies have. The connections limit the memory for them.
+	uncountedReplyBytes = 32 << 10
 	// maxInlineBytes is the size up to which a request is written on the caller's goroutine. It fits the socket buffer of an
 	// idle connection, so that the write does not block.
 	maxInlineBytes = 16 << 10
@@ -69,9 +77,11 @@
 	logger   log.Logger
 	now      func() time.Time
 	dialer   net.Dialer
-	metrics  metrics
-	runCtx   context.Context
-	cancel   context.CancelFunc
+	// replyMemory limits the replies that are being read on all connections together.
+	replyMemory *readlimit.Budget
+	metrics     metrics
+	runCtx      context.Context
+	cancel      context.CancelFunc
 
 	self model.VMName
 	zone model.AvailabilityZone
@@ -109,12 +119,22 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probe, Interval: probe, Count: maxLostProbes},
 	}
 	m.metrics = newMetrics(ctx.Scope("leaf_connections"))
+	m.replyMemory = newReplyMemory(s.Int("vm", "memory_limit_mb"))
 	m.pools = map[leaves.Key]*pool{}
 	var err error
 	m.protocol, err = kernel.Lookup[kernel.LeafProtocol](ctx)
 	return err
 }
 
+// newReplyMemory returns the budget of a VM with a memory limit in MiB, where 0 is no limit.
+func newReplyMemory(limitMB int) *readlimit.Budget {
+	bytes := int64(defaultReplyMemory)
+	if limitMB > 0 {
+		bytes = int64(replyMemoryShare * float64(limitMB) * (1 << 20))
+	}
+	return readlimit.NewBudget(bytes, uncountedReplyBytes)
+}
+
 // Start implements kernel.Starter.
 func (m *Module) Start(ctx context.Context) error {
 	m.runCtx, m.cancel = context.WithCancel(ctx)
@@ -199,6 +219,9 @@
 	if p == nil {
 		return limit
 	}
+	if p.refuses(m.now()) {
+		return 0
+	}
 	return limit - (p.open - p.preconnecting - len(p.idle))
 }
 
@@ -208,13 +231,19 @@
 	limit := m.limit(l)
 	m.mu.Lock()
 	p := m.poolOf(l)
-	c := p.takeIdle(m.now())
+	refused := p.refuses(m.now())
+	var c *conn
+	if !refused {
+		c = p.takeIdle(m.now())
+	}
 	full := c == nil && p.open-p.preconnecting >= limit
-	if c == nil && !full {
+	if c == nil && !full && !refused {
 		p.open++
 	}
 	m.mu.Unlock()
 	switch {
+	case refused:
+		a.finish(nil, p.refusal(), false)
 	case c != nil:
 		c.start(a)
 	case full:
--- a/internal/modules/leafpool/pool.go
+++ b/internal/modules/leafpool/pool.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/chestnuttiller/chestnuttiller/internal/errs"
+	"github.com/chestnuttiller/chestnuttiller/internal/forward"
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
 )
 
@@ -20,8 +22,11 @@
 	// of idle.
 	open int
 	idle []*conn
-	// retired reports whether connections are closed instead of becoming idle.
+	// retired reports whether connections are closed instead of becoming idle, and no new ones are opened: the leaf is no
+	// longer listed, or has replied that it is leaving.
 	retired bool
+	// pausedUntil is the end of the pause that the leaf has asked for. No connection is opened and no request is sent before.
+	pausedUntil time.Time
 	// preconnecting counts the connections that are being opened in advance. Requests do not wait for them.
 	preconnecting int
 	// unreachableUntil is when the next connection may be opened in advance, after one could not be opened or ended unused.
@@ -51,6 +56,35 @@
 	return idle
 }
 
+// observe applies what a reply states about its leaf.
+func (p *pool) observe(reply *forward.LeafReply) {
+	pause := reply.Pause()
+	if !reply.Leaving && pause == 0 {
+		return
+	}
+	m := p.module
+	var idle []*conn
+	m.mu.Lock()
+	if reply.Leaving {
+		idle = p.retire()
+	}
+	if until := m.now().Add(pause); until.After(p.pausedUntil) {
+		p.pausedUntil = until
+	}
+	m.mu.Unlock()
+	for _, c := range idle {
+		_ = c.net.Close() // The reading goroutine removes it from the count.
+	}
+	m.recheckPreferred()
+}
+
+// refuses reports whether no request may be sent to the leaf. The caller holds the lock.
+func (p *pool) refuses(now time.Time) bool { return p.retired || now.Before(p.pausedUntil) }
+
+func (p *pool) refusal() error {
+	return errs.New(errs.KindUnavailable, "send the request to another leaf", "leaf %s is leaving or has asked for a pause", p.leaf.ID)
+}
+
 // putIdle makes a connection idle, and reports false if it has to be closed instead.
 func (p *pool) putIdle(c *conn) bool {
 	limit := p.module.limit(p.leaf)
@@ -133,6 +167,24 @@
 		return
 	}
 	c := newConn(p, n)
+	p.module.mu.Lock()
+	refused := p.refuses(p.module.now())
+	p.module.mu.Unlock()
+	if refused { // The leaf has stated this while the connection was being opened.
+		a.finish(nil, p.refusal(), false)
+		p.keepIdle(c)
+		return
+	}
 	c.start(a)
 	c.read()
 }
+
+// keepIdle makes a new connection idle and reads from it until it ends, or closes it where it is not needed.
+func (p *pool) keepIdle(c *conn) {
+	if !p.putIdle(c) {
+		_ = c.net.Close() // No request was sent on it.
+		p.closed(c)
+		return
+	}
+	c.read()
+}
--- a/internal/modules/leafpool/preconnect.go
+++ b/internal/modules/leafpool/preconnect.go
@@ -34,7 +34,7 @@
 	defer m.mu.Unlock()
 	full := func(l *leaves.Member) bool {
 		p := m.pools[l.Key()]
-		refused := p != nil && p.open == 0 && now.Before(p.unreachableUntil)
+		refused := p != nil && (p.open == 0 && now.Before(p.unreachableUntil) || p.refuses(now))
 		skipped = skipped || refused
 		return refused
 	}
@@ -108,7 +108,7 @@
 }
 
 // missing returns a preferred leaf without a connection, or nil, and reports whether other ones have to wait because
-// they were unreachable shortly before. It includes leaves that no route names yet: those of a new index start seconds
+// they were unreachable shortly before or have asked for a pause. It includes leaves that no route names yet: those of a new index start seconds
 // before the table that names them.
 func (m *Module) missing() (l *leaves.Member, postponed bool) {
 	set := m.preferred.Load()
@@ -121,8 +121,8 @@
 	// The order of a map is random, so that the VMs do not all open connections to one leaf.
 	for k, x := range *set {
 		switch p := m.pools[k]; {
-		case p != nil && p.open > 0:
-		case p != nil && now.Before(p.unreachableUntil):
+		case p != nil && (p.open > 0 || p.retired):
+		case p != nil && (now.Before(p.unreachableUntil) || now.Before(p.pausedUntil)):
 			postponed = true
 		default:
 			return x, postponed
@@ -135,7 +135,7 @@
 func (m *Module) preconnectTo(l *leaves.Member) {
 	m.mu.Lock()
 	p := m.poolOf(l)
-	if p.open > 0 {
+	if p.open > 0 || p.refuses(m.now()) {
 		m.mu.Unlock()
 		return
 	}
@@ -150,11 +150,5 @@
 		p.closed(nil)
 		return
 	}
-	c := newConn(p, n)
-	if !p.putIdle(c) {
-		_ = c.net.Close() // Requests have opened as many connections as the limit allows.
-		p.closed(c)
-		return
-	}
-	c.read()
+	p.keepIdle(newConn(p, n)) // Requests may have opened as many connections as the limit allows.
 }
--- a/internal/modules/membership/cache.go
+++ b/internal/modules/membership/cache.go
@@ -105,6 +105,9 @@
 		return cachedState{}, errs.New(errs.KindCorrupt, "no action is needed; the file is written again", "%s is damaged", c.path)
 	}
 	u, err := decodeUpdate(data[checksumBytes:])
+	if len(u.invalid) > 0 {
+		_ = level.Warn(c.logger).Log("msg", "leaves stored on disk ignored because they are invalid", "records", len(u.invalid), "err", u.invalid[0])
+	}
 	return cachedState{u.leaves, u.entryVMs}, err
 }
 
--- a/internal/modules/membership/codec.go
+++ b/internal/modules/membership/codec.go
@@ -19,6 +19,9 @@
 // counts.
 const maxAttempts = 1e6
 
+// maxWarmUpMS is the longest warm-up that fits into a time.Duration with a margin, one year.
+const maxWarmUpMS = 365 * 24 * 60 * 60 * 1000
+
 func routesToProto(t *routes.Table) *routespb.Table { return routescodec.TableToProto(t) }
 
 func leafToProto(l *leaves.Leaf) *membershippb.Leaf {
@@ -29,12 +32,17 @@
 	}
 }
 
-func leafFromProto(in *membershippb.Leaf) leaves.Leaf {
-	return leaves.Leaf{
+// leafFromProto returns an error of kind invalid for a record that no leaf can have.
+func leafFromProto(in *membershippb.Leaf) (leaves.Leaf, error) {
+	if state := in.GetState(); state > uint32(leaves.Expired) {
+		return leaves.Leaf{}, errs.New(errs.KindInvalid, "run the same release on all VMs", "leaf %.64q has the unknown state %d", in.GetId(), state)
+	}
+	l := leaves.Leaf{
 		ID: in.GetId(), Service: model.ServiceName(in.GetService()), Address: in.GetAddress(), AvailabilityZone: model.AvailabilityZone(in.GetAvailabilityZone()),
 		Slots: int(in.GetSlots()), State: leaves.State(in.GetState()), BornMS: in.GetBornMs(), Sequence: in.GetSequence(),
-		WarmUpLeft: time.Duration(in.GetWarmUpLeftMs()) * time.Millisecond, Origin: model.VMName(in.GetOrigin()),
+		WarmUpLeft: time.Duration(min(in.GetWarmUpLeftMs(), maxWarmUpMS)) * time.Millisecond, Origin: model.VMName(in.GetOrigin()),
 	}
+	return l, l.Check()
 }
 
 func evidenceToProto(list []leaves.Evidence) *membershippb.LeafReport {
@@ -83,10 +91,11 @@
 	}
 	u := update{incarnation: reply.GetIncarnation(), tableVersion: reply.GetPosition(), complete: reply.GetComplete(), entryVMs: int(reply.GetEntryVms())}
 	for _, l := range reply.GetLeaves() {
-		if s := leaves.State(l.GetState()); s < leaves.Ready || s > leaves.Expired {
-			return update{}, errs.New(errs.KindInvalid, "run the same release on all VMs", "leaf %s has the unknown state %d", l.GetId(), s)
+		if leaf, err := leafFromProto(l); err != nil {
+			u.invalid = append(u.invalid, err)
+		} else {
+			u.leaves = append(u.leaves, leaf)
 		}
-		u.leaves = append(u.leaves, leafFromProto(l))
 	}
 	u.outlierVersion, u.outliersIncluded = reply.GetTroubleVersion(), reply.GetGathered() != nil || reply.GetTrouble() != nil
 	var err error
--- a/internal/modules/membership/module.go
+++ b/internal/modules/membership/module.go
@@ -101,7 +101,7 @@
 	readiness   *kernel.Readiness
 	peers       kernel.PeerTransport
 	logger      log.Logger
-	gauges      gauges
+	metrics     metrics
 	runCtx      context.Context
 	cancel      context.CancelFunc
 
@@ -115,6 +115,10 @@
 	entryVMs       int
 	state          kernel.RouteState
 	outlierPool    outlierPool
+	// newest holds the records of which index was built. leaving holds the incarnations that have replied to this VM that
+	// they are leaving, and when a control VM last listed them.
+	newest  map[string]leaves.Leaf
+	leaving map[leaves.Key]time.Time
 	// fewerSince is the time since which fewer entry VMs are reported than the number in use; zero if there are not
 	// fewer.
 	fewerSince time.Time
@@ -133,15 +137,17 @@
 	ready   bool
 }
 
-type gauges struct {
+type metrics struct {
 	ready, draining, expired, routesVersion, entryVMs, outliers tally.Gauge
+	// invalidRecords counts the records of leaves that were ignored.
+	invalidRecords tally.Counter
 }
 
-func newGauges(s tally.Scope) gauges {
-	return gauges{
+func newMetrics(s tally.Scope) metrics {
+	return metrics{
 		ready: s.Gauge("leaves_ready"), draining: s.Gauge("leaves_draining"), expired: s.Gauge("leaves_lapsed"),
 		routesVersion: s.Gauge("routes_version"), entryVMs: s.Gauge("entry_vms"),
-		outliers: s.Gauge("leaves_in_trouble"),
+		outliers: s.Gauge("leaves_in_trouble"), invalidRecords: s.Counter("invalid_records"),
 	}
 }
 
@@ -152,11 +158,12 @@
 	m.isControl = s.HasRole(settings.RoleControl)
 	m.zone, m.now = ctx.AvailabilityZone, ctx.Now
 	m.control, m.readiness, m.logger = ctx.Control, ctx.Readiness, ctx.Logger("membership")
-	m.gauges = newGauges(ctx.Scope("membership"))
+	m.metrics = newMetrics(ctx.Scope("membership"))
 	m.table = leaves.NewTable(m.self, leaves.Config{
 		ExpireAfter: s.Duration(section, "leaf_lapse"), OrphanExpireAfter: s.Duration(section, "orphan_lapse"), Retention: s.Duration(section, "retain"),
 	})
 	m.sources, m.entryLastWatch = map[model.VMName]*source{}, map[model.VMName]time.Time{}
+	m.leaving = map[leaves.Key]time.Time{}
 	m.changed, m.started = make(chan struct{}), ctx.Now()
 	m.outlierPool.init()
 	m.runCtx, m.cancel = context.WithCancel(context.Background())
@@ -213,6 +220,8 @@
 		m.control.After(scanInterval, scanEvent{})
 	case updateEvent:
 		m.applyUpdate(now, ev)
+	case leavingEvent:
+		m.markLeaving(now, ev.leaf)
 	case reportEvent:
 		m.outlierPool.board.Record(now, ev.list)
 	case outlierEvent:
@@ -242,7 +251,7 @@
 		before = m.routes.Version
 	}
 	m.routes = t
-	m.gauges.routesVersion.Update(float64(t.Version))
+	m.metrics.routesVersion.Update(float64(t.Version))
 	_ = level.Info(m.logger).Log("msg", "route table in force", "version", t.Version, "before", before, "from", from, "routes", len(t.Routes), "services", len(t.Services))
 	m.control.MarkDirty()
 	m.notifyWatchers()
@@ -259,16 +268,20 @@
 	_ = level.Info(m.logger).Log("msg", "this VM is ready", "version", m.routes.Version, "leaves", m.index.Count)
 }
 
-// rebuildIndex builds the index of an entry VM from the leaves that all control VMs sent.
-func (m *Module) rebuildIndex(now time.Time) {
+// rebuildIndex builds the index of an entry VM from the leaves that all control VMs sent. from is the control VM whose answer
+// led to it, or this VM.
+func (m *Module) rebuildIndex(now time.Time, from model.VMName) {
 	var tables []*leaves.RemoteTable
 	for _, s := range m.sources {
 		if s.remoteTable.Leaves != nil {
 			tables = append(tables, &s.remoteTable)
 		}
 	}
-	m.index = leaves.BuildIndex(now, tables, m.index)
-	m.gauges.ready.Update(float64(m.index.Count))
+	before := m.newest
+	m.newest = leaves.Newest(tables)
+	m.logChanges(from, before, m.newest)
+	m.index = leaves.BuildIndex(now, m.newest, m.isLeaving, m.index)
+	m.metrics.ready.Update(float64(m.index.Count))
 	m.control.MarkDirty()
 }
 
@@ -279,6 +292,7 @@
 		m.applyOutliers(now)
 		m.updateEntryVMs(now)
 		m.removeExpiredSources(now)
+		m.pruneLeaving(now)
 		return
 	}
 	// The event of a route change may have been dropped because the queue was full.
@@ -300,10 +314,10 @@
 		}
 	}
 	counts := m.table.Counts()
-	m.gauges.ready.Update(float64(counts[leaves.Ready]))
-	m.gauges.draining.Update(float64(counts[leaves.Draining]))
-	m.gauges.expired.Update(float64(counts[leaves.Expired]))
-	m.gauges.entryVMs.Update(float64(len(m.entryLastWatch)))
+	m.metrics.ready.Update(float64(counts[leaves.Ready]))
+	m.metrics.draining.Update(float64(counts[leaves.Draining]))
+	m.metrics.expired.Update(float64(counts[leaves.Expired]))
+	m.metrics.entryVMs.Update(float64(len(m.entryLastWatch)))
 }
 
 // ContributeView implements kernel.ViewContributor.
--- a/internal/modules/membership/module_test.go
+++ b/internal/modules/membership/module_test.go
@@ -36,7 +36,7 @@
 func newModule() *Module {
 	peers := fakePeers{}
 	m := &Module{self: "e", zone: "z2", settings: &settings.Settings{}, runCtx: context.Background(), changed: make(chan struct{}), logger: log.NewNopLogger(), sources: map[model.VMName]*source{}, table: leaves.NewTable("e", leaves.Config{}),
-		control: kernel.NewTestControl(), gauges: newGauges(tally.NoopScope)}
+		control: kernel.NewTestControl(), metrics: newMetrics(tally.NoopScope)}
 	m.outlierPool.init()
 	for vm, zone := range map[model.VMName]model.AvailabilityZone{"a": "z1", "b": "z2", "c": "z3", "d": "z4"} {
 		peers = append(peers, kernel.PeerStatus{VM: vm, AvailabilityZone: zone, Connected: true, Control: true})
@@ -76,7 +76,7 @@
 	m := newModule()
 	m.incarnation = 7
 	m.routes = &routes.Table{Version: 3}
-	require.NoError(t, m.table.ApplyHeartbeat(start, leaves.Leaf{ID: "i", Address: "h:1", State: leaves.Ready}))
+	require.NoError(t, m.table.ApplyHeartbeat(start, leaves.Leaf{ID: "i", Address: "10.0.0.1:1", State: leaves.Ready}))
 	full := &membershippb.WatchRequest{}
 	reply := m.updateFor(start, full, false)
 	require.Len(t, reply.GetLeaves(), 1)
@@ -105,7 +105,7 @@
 	require.NotNil(t, m.sources["a"].remoteTable.Leaves)
 	m.sources["c"].remoteTable.Apply(nil, true)
 	m.sources["c"].lastContact = start
-	m.gauges = newGauges(tally.NoopScope)
+	m.metrics = newMetrics(tally.NoopScope)
 	m.removeRemoteTable(start, m.sources["a"])
 	require.Nil(t, m.sources["a"].remoteTable.Leaves)
 }
@@ -113,7 +113,7 @@
 // Guards against VMs that use larger shares of connections and budgets because a control VM was restarted or cut off.
 func TestNumberOfEntryVMsFallsAfterDelay(t *testing.T) {
 	m := newModule()
-	m.control, m.gauges = kernel.NewTestControl(), newGauges(tally.NoopScope)
+	m.control, m.metrics = kernel.NewTestControl(), newMetrics(tally.NoopScope)
 	report := func(at time.Time, n int) {
 		for _, s := range m.sources {
 			s.lastContact, s.entryVMs = at, n
@@ -141,7 +141,7 @@
 	stored, err := c.load()
 	require.NoError(t, err)
 	require.Empty(t, stored)
-	want := []leaves.Leaf{{ID: "i", Service: "s", Address: "h:1", State: leaves.Ready, BornMS: 4, Sequence: 9}, {ID: "j", State: leaves.Deregistered, BornMS: 3}}
+	want := []leaves.Leaf{{ID: "i", Service: "s", Address: "10.0.0.1:1", State: leaves.Ready, BornMS: 4, Sequence: 9}, {ID: "j", State: leaves.Deregistered, BornMS: 3}}
 	require.NoError(t, c.save(cachedState{want, 86}))
 	stored, err = newCache(files, "data", log.NewNopLogger()).load()
 	require.NoError(t, err)
--- a/internal/modules/membership/outliers.go
+++ b/internal/modules/membership/outliers.go
@@ -144,7 +144,7 @@
 		return false
 	}
 	m.outlierPool.inForce, m.outlierPool.from = outliers, from
-	m.gauges.outliers.Update(float64(len(outliers)))
+	m.metrics.outliers.Update(float64(len(outliers)))
 	m.control.MarkDirty()
 	return true
 }
--- a/internal/modules/membership/registry.go
+++ b/internal/modules/membership/registry.go
@@ -24,10 +24,10 @@
 // Deregister implements kernel.LeafRegistry.
 func (m *Module) Deregister(ctx context.Context, id string, bornMS int64) error {
 	return m.changeTable(ctx, func(now time.Time) error {
-		m.table.Deregister(now, id, bornMS)
+		err := m.table.Deregister(now, id, bornMS)
 		l, _ := m.table.Get(id)
-		_ = level.Info(m.logger).Log("msg", "leaf deregistered", "leaf", id, "born_ms", bornMS, "state", l.State)
-		return nil
+		_ = level.Info(m.logger).Log("msg", "leaf deregistered", "leaf", id, "born_ms", bornMS, "state", l.State, "err", err)
+		return err
 	})
 }
 
--- a/internal/modules/membership/sources.go
+++ b/internal/modules/membership/sources.go
@@ -78,7 +78,7 @@
 	for _, other := range m.sources {
 		if other != s && other.full.Load() && other.remoteTable.Leaves != nil && other.responsive(now) {
 			s.remoteTable = leaves.RemoteTable{}
-			m.rebuildIndex(now)
+			m.rebuildIndex(now, m.self)
 			return
 		}
 	}
@@ -104,7 +104,7 @@
 	}
 	_ = level.Info(m.logger).Log("msg", "number of entry VMs changed", "before", m.entryVMs, "now", n)
 	m.entryVMs = n
-	m.gauges.entryVMs.Update(float64(n))
+	m.metrics.entryVMs.Update(float64(n))
 	m.control.MarkDirty()
 }
 
@@ -127,7 +127,7 @@
 		if answering && s.answered && now.Sub(s.lastContact) > sourceRetention {
 			s.answered, s.remoteTable = false, leaves.RemoteTable{}
 			_ = level.Warn(m.logger).Log("msg", "leaves of a control VM removed because the VM has not answered for too long", "from", vm, "age", now.Sub(s.lastContact))
-			m.rebuildIndex(now)
+			m.rebuildIndex(now, m.self)
 		}
 	}
 }
--- a/internal/modules/membership/updates.go
+++ b/internal/modules/membership/updates.go
@@ -22,9 +22,11 @@
 	tableVersion uint64
 	complete     bool
 	leaves       []leaves.Leaf
-	routes       *routes.Table
-	entryVMs     int
-	controlVMs   []model.VMName
+	// invalid holds an error for each record that was left out because no leaf can have it.
+	invalid    []error
+	routes     *routes.Table
+	entryVMs   int
+	controlVMs []model.VMName
 	// outlierVersion is the version of the control VM's outliers or, for control VMs, of its evidence.
 	// outliersRequested reports whether they were requested, and outliersIncluded whether the answer contains them.
 	outlierVersion                      uint64
@@ -46,6 +48,7 @@
 		_ = level.Info(m.logger).Log("msg", "control VM answers", "from", ev.from, "leaves", len(ev.update.leaves), "entry_vms", ev.update.entryVMs)
 	}
 	s.lastContact = now
+	m.logInvalid(ev.from, ev.update.invalid)
 	if ev.update.light {
 		m.removeRemoteTable(now, s)
 	}
@@ -69,8 +72,7 @@
 		s.remoteTable.Apply(ev.update.leaves, ev.update.complete)
 	}
 	if !ev.update.light && (len(ev.update.leaves) > 0 || ev.update.complete) {
-		m.logLeaves(ev.from, ev.update.leaves)
-		m.rebuildIndex(now)
+		m.rebuildIndex(now, ev.from)
 	}
 	if s.entryVMs != ev.update.entryVMs {
 		s.entryVMs = ev.update.entryVMs
@@ -93,12 +95,35 @@
 // maxLeafLines limits the log lines about leaves for one answer.
 const maxLeafLines = 20
 
-func (m *Module) logLeaves(from model.VMName, list []leaves.Leaf) {
-	for i, l := range list {
-		if i == maxLeafLines {
-			_ = level.Info(m.logger).Log("msg", "more leaves changed; their log lines are left out", "from", from, "lines_left_out", len(list)-i)
+// logInvalid counts and logs the records of an answer that were left out.
+func (m *Module) logInvalid(from model.VMName, list []error) {
+	if len(list) > 0 {
+		m.metrics.invalidRecords.Inc(int64(len(list)))
+		_ = level.Warn(m.logger).Log("msg", "records of leaves ignored because they are invalid", "from", from, "records", len(list), "err", list[0])
+	}
+}
+
+// logChanges logs what the newest records of the leaves change for this VM. from is the control VM whose answer led to it.
+func (m *Module) logChanges(from model.VMName, before, now map[string]leaves.Leaf) {
+	lines, leftOut := 0, 0
+	line := func(msg string, l leaves.Leaf) {
+		if lines++; lines > maxLeafLines {
+			leftOut++
 			return
 		}
-		_ = level.Info(m.logger).Log("msg", "leaf changed", "from", from, "leaf", l.ID, "service", l.Service, "address", l.Address, "state", l.State, "born_ms", l.BornMS, "sequence", l.Sequence)
+		_ = level.Info(m.logger).Log("msg", msg, "from", from, "leaf", l.ID, "service", l.Service, "address", l.Address, "state", l.State, "born_ms", l.BornMS, "sequence", l.Sequence)
+	}
+	for id, l := range now {
+		if old, ok := before[id]; !ok || !leaves.SameUse(&old, &l) {
+			line("leaf changed", l)
+		}
+	}
+	for id, l := range before {
+		if _, ok := now[id]; !ok {
+			line("leaf is no longer listed", l)
+		}
+	}
+	if leftOut > 0 {
+		_ = level.Info(m.logger).Log("msg", "more leaves changed; their log lines are left out", "from", from, "lines_left_out", leftOut)
 	}
 }
