End reads of peer sessions without spinning, limit slow and endless requests, and report lost records

Cause: (1) yamux closes the shutdown channel of a session before its streams, and a blocked read returns to the same select until they are closed. (2) A caller could send a body for ever, as only its bytes were limited, and all bodies together were not limited. (3) A call without a known control VM returned neither a result nor an error; a drain reported success although records were dropped; the release of an unconfirmed claim could be dropped while the caller was advised to use the same key; a group without a limit of voters removed each unresponsive one. Ruled out: own keep-alives in place of those of yamux, since the send path and the stream open timeout close the session too; a deadline on each read, which would need a timer for every idle stream. Change: the connection of a session makes its streams' reads fail when it is closed, before yamux waits for its goroutines. The two tests of announcements have VMs with settings of their own.

--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -217,6 +217,24 @@
 	})
 }
 
+// Guards against a group without a limit of voters that removes each voter which is unresponsive for a while, until the next
+// loss stops it.
+func TestNoVoterIsSurplusWithoutALimit(t *testing.T) {
+	s := healthy(t, 3)
+	for _, r := range s.replicas {
+		r.node.cfg.MaxVoters, r.node.cfg.ReplaceAfterTicks = 0, 40
+	}
+	crashed := s.replicas[0]
+	if crashed == s.leader() {
+		crashed = s.replicas[1]
+	}
+	crashed.node = nil
+	for range 200 {
+		s.round()
+	}
+	require.Len(t, s.leader().node.voters(), 3)
+}
+
 // Guards against two uncommitted membership changes, whose quorums need not intersect.
 func TestOneChangeAtATime(t *testing.T) {
 	s := healthy(t, 3)
--- a/internal/consensus/members.go
+++ b/internal/consensus/members.go
@@ -153,7 +153,7 @@
 	}
 	for _, m := range members {
 		superseded := !m.Learner && newest[m.VM] != m.Replica
-		surplus := n.replaceable(m) && len(n.voters()) > n.cfg.MaxVoters
+		surplus := n.replaceable(m) && n.cfg.MaxVoters > 0 && len(n.voters()) > n.cfg.MaxVoters
 		if m.Replica != n.cfg.Replica && (superseded || surplus || n.retired(m)) && n.hasQuorumWithout(m) {
 			return Change{Kind: Remove, Member: m}, true
 		}
--- a/internal/forward/pause_test.go
+++ b/internal/forward/pause_test.go
@@ -113,10 +113,10 @@
 func TestTurnedAwayRequestGoesToAnotherLeaf(t *testing.T) {
 	e := newEnv("a")
 	r := newRun(singleRoute(false), e)
-	sends, _, _ := r.Step(start)
+	r.Step(start)
 	e.paused["a1"] = at(2001)
 	r.AttemptEnded(0, 0, pauseFor(2*time.Second))
-	sends, _, _ = r.Step(at(1))
+	sends, _, _ := r.Step(at(1))
 	require.Equal(t, "a2", sends[0].Leaf.ID)
 	require.Equal(t, 99, e.extraLeft, "it counts towards the budget")
 	e.paused["a2"], e.paused["a3"] = at(1502), at(1802)
--- a/internal/httpserver/generation.go
+++ b/internal/httpserver/generation.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-kit/log/level"
 )
@@ -41,9 +43,34 @@
 		// The response closes the connection, so that the next request goes to another VM or is subject to the new limits.
 		w.Header().Set("Connection", "close")
 	}
+	if g.options.BodyTimeout > 0 && r.ContentLength != 0 {
+		r.Body = newTimedBody(w, r.Body, g.options.BodyTimeout)
+	}
 	g.parent.handler.ServeHTTP(w, r)
 }
 
+// timedBody is the body of a request that has to end before a deadline of its connection.
+type timedBody struct {
+	io.ReadCloser
+	connection *http.ResponseController
+}
+
+func newTimedBody(w http.ResponseWriter, body io.ReadCloser, timeout time.Duration) *timedBody {
+	b := &timedBody{body, http.NewResponseController(w)}
+	_ = b.connection.SetReadDeadline(time.Now().Add(timeout)) // A connection that has been closed needs no deadline.
+	return b
+}
+
+// Read implements io.Reader.
+func (b *timedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		// net/http goes on reading to notice when the caller disconnects.
+		_ = b.connection.SetReadDeadline(time.Time{}) // As above.
+	}
+	return n, err
+}
+
 func (g *generation) serve() {
 	g.source.addr = g.parent.listener.Addr()
 	go func() {
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -22,6 +22,9 @@
 	ReadHeaderTimeout time.Duration
 	IdleTimeout       time.Duration
 	MaxHeaderBytes    int
+	// BodyTimeout is the longest time from the end of the header to the end of the body of a request; 0 is no limit. A read of
+	// the body fails after it.
+	BodyTimeout time.Duration
 }
 
 // acceptPause is the pause after a connection could not be accepted, for example because no file descriptor is free.
--- a/internal/modules/announce/module_test.go
+++ b/internal/modules/announce/module_test.go
@@ -25,12 +25,13 @@
 
 const wait = 10 * time.Second
 
-// startVM starts an entry VM without control VMs and returns its kernel and announcement URL.
-func startVM(t *testing.T) (*kernel.Kernel, string) {
+// startVM starts an entry VM without control VMs and returns its kernel and announcement URL. announceSettings are further
+// lines of its section announce.
+func startVM(t *testing.T, announceSettings string) (*kernel.Kernel, string) {
 	t.Helper()
 	addr := peertest.FreeAddress()
 	text := fmt.Sprintf("[vm]\ncluster = test\nname = vm-1\navailability_zone = az-1\n[log]\nlevel = error\n"+
-		"[announce]\nlisten = %s\nread_timeout = 200ms\n[dissemination]\nservices = depot\n", addr)
+		"[announce]\nlisten = %s\n%s\n[dissemination]\nservices = depot\n", addr, announceSettings)
 	s, err := settings.Parse("test.ini", []byte(text), kernel.SettingsKeys())
 	require.NoError(t, err)
 	k, err := kernel.New(s)
@@ -76,7 +77,7 @@
 
 // Guards against a target whose announcement is accepted but that never becomes a holder of its shards.
 func TestAnnouncedTargetBecomesHolder(t *testing.T) {
-	k, url := startVM(t)
+	k, url := startVM(t, "")
 	status, _, _ := post(t, url, announcement())
 	require.Equal(t, http.StatusOK, status)
 	require.Eventually(t, func() bool { return shardHolders(k) == 1 }, wait, time.Millisecond)
@@ -90,7 +91,7 @@
 
 // Guards against refusals without a kind, a remedy or the right status.
 func TestRefusalsAreTyped(t *testing.T) {
-	_, url := startVM(t)
+	_, url := startVM(t, "")
 	unknown := announcement()
 	unknown.Service = "nowhere"
 	malformed := announcement()
@@ -114,7 +115,7 @@
 
 // Guards against slow clients that hold connections and memory without limit.
 func TestSlowClientIsDisconnected(t *testing.T) {
-	_, url := startVM(t)
+	_, url := startVM(t, "read_timeout = 200ms")
 	addr := strings.TrimSuffix(strings.TrimPrefix(url, "http://"), targetapi.PathAnnounce)
 	conn, err := net.Dial("tcp", addr)
 	require.NoError(t, err)
--- a/internal/modules/claims/claims_test.go
+++ b/internal/modules/claims/claims_test.go
@@ -199,3 +199,28 @@
 	}
 	require.Equal(t, errs.KindOverload, errs.KindOf(m.Finish(t.Context(), req.Order, "a1", make([]byte, 1))))
 }
+
+// Guards against a claim that stays held because its release was dropped, while the caller is advised to resend the order under
+// the same key.
+func TestDroppedReleaseIsReported(t *testing.T) {
+	f := &fakeControl{state: state.New(), applied: make(chan any, 1), err: errs.New(errs.KindUnknownOutcome, "read", "answer lost"), failAfterApply: true}
+	m := &Module{}
+	m.init(f, log.NewNopLogger(), tally.NoopScope, time.Now)
+	m.queue = make(chan record)
+	_, err := m.Claim(t.Context(), request(t, "a1"))
+	require.Equal(t, errs.KindNotAccepted, errs.KindOf(err))
+	require.Contains(t, errs.RemedyOf(err), "new key")
+}
+
+// Guards against a drain that reports success although the result of an order was dropped meanwhile.
+func TestDrainReportsDroppedRecords(t *testing.T) {
+	m, f := start(t)
+	req := request(t, "a1")
+	_, err := m.Claim(t.Context(), req)
+	require.NoError(t, err)
+	f.setError(unreachable, false)
+	require.Equal(t, errs.KindUnavailable, errs.KindOf(m.Finish(t.Context(), req.Order, "a1", []byte("done"))))
+	time.AfterFunc(20*time.Millisecond, func() { f.setError(errs.New(errs.KindInvalid, "none", "refused"), false) })
+	require.Error(t, m.Drain(t.Context()))
+	require.NoError(t, m.Drain(t.Context()), "each loss is reported once")
+}
--- a/internal/modules/claims/module.go
+++ b/internal/modules/claims/module.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -44,6 +45,8 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 	queued backlog
+	// lost counts the records that were dropped.
+	lost atomic.Int64
 }
 
 // Provision implements kernel.Provisioner.
@@ -70,9 +73,10 @@
 }
 
 // Drain implements kernel.Drainer. It waits until the queue is empty: a record that is lost here leaves its order with
-// an unknown outcome.
+// an unknown outcome, and is reported as an error.
 func (m *Module) Drain(ctx context.Context) error {
-	if m.queued.waitForAll(ctx) == nil {
+	before := m.lost.Load()
+	if m.queued.waitForAll(ctx) == nil && m.lost.Load() == before {
 		return nil
 	}
 	return errs.New(errs.KindUnavailable, "query the targets for the outcomes of recent orders",
@@ -103,8 +107,11 @@
 	})
 	if errs.KindOf(err) == errs.KindUnknownOutcome {
 		// The claim may be granted although no request acts on it. The order has not run, so the claim is released.
-		m.enqueue(record{command: state.ReleaseClaim{Order: req.Order, Attempt: req.Attempt, Digest: req.Digest}, order: req.Order, createdAt: m.now()})
-		err = errs.Wrap(err, errs.KindNotAccepted, "send the order again with the same key", "the claim on the order was not confirmed")
+		remedy := "send the order again with the same key"
+		if !m.enqueue(record{command: state.ReleaseClaim{Order: req.Order, Attempt: req.Attempt, Digest: req.Digest}, order: req.Order, createdAt: m.now()}) {
+			remedy = "send the order again with a new key: it has not run, but its key may stay claimed"
+		}
+		err = errs.Wrap(err, errs.KindNotAccepted, remedy, "the claim on the order was not confirmed")
 	}
 	if err != nil {
 		return model.ClaimResult{}, err
--- a/internal/modules/claims/retry.go
+++ b/internal/modules/claims/retry.go
@@ -81,11 +81,19 @@
 			m.queued.remove(r.order, r.bytes())
 		}
 	}
-	m.scope.Counter("lost").Inc(1)
-	m.warn("the result or release of an order was dropped because the queue to the control group is full", r, nil)
+	m.drop("the result or release of an order was dropped because the queue to the control group is full", r, nil)
 	return false
 }
 
+// drop counts and logs a record that is lost.
+func (m *Module) drop(msg string, r record, err error) {
+	if errs.KindOf(err) != errs.KindConflict { // After a conflict there is nothing left to record.
+		m.lost.Add(1)
+	}
+	m.scope.Counter("lost").Inc(1)
+	m.warn(msg, r, err)
+}
+
 // sendQueued sends queued records one after the other. While the control group cannot be reached, the first one is
 // retried with increasing delays; the others would fail in the same way.
 func (m *Module) sendQueued(ctx context.Context) {
@@ -111,8 +119,7 @@
 			return
 		}
 		if !retryable(err) || m.now().Sub(r.createdAt) > maxRecordAge {
-			m.scope.Counter("lost").Inc(1)
-			m.warn("the result or release of an order was dropped because it could not be recorded", r, err)
+			m.drop("the result or release of an order was dropped because it could not be recorded", r, err)
 			return
 		}
 		if m.wait(ctx, delay) != nil {
--- a/internal/modules/controlclient/controlclient_test.go
+++ b/internal/modules/controlclient/controlclient_test.go
@@ -228,3 +228,17 @@
 	require.Equal(t, errs.KindUnknownOutcome, errs.KindOf(err))
 	require.Zero(t, g.applied)
 }
+
+// Guards against a call that succeeds without a result because this VM has not discovered a control VM yet.
+func TestCallWithoutControlVMsFails(t *testing.T) {
+	m := &Module{self: "entry", peers: noPeers{}, logger: log.NewNopLogger(), scope: tally.NoopScope, wait: func(ctx context.Context, _ time.Duration) error { return ctx.Err() }}
+	_, err := m.ReadEncoded(t.Context(), []byte("x"))
+	require.Equal(t, errs.KindUnavailable, errs.KindOf(err))
+	_, err = m.ProposeEncoded(t.Context(), []byte("x"))
+	require.Equal(t, errs.KindNotAccepted, errs.KindOf(err))
+}
+
+// noPeers is the transport of a VM that knows no other VM.
+type noPeers struct{ kernel.PeerTransport }
+
+func (noPeers) Peers() []kernel.PeerStatus { return nil }
--- a/internal/modules/controlclient/send.go
+++ b/internal/modules/controlclient/send.go
@@ -113,6 +113,9 @@
 		}
 		last, next = err, leader
 	}
+	if len(controlVMs) == 0 {
+		last = errs.New(errs.KindUnavailable, "check the seeds or peers in the settings", "no control VM is known yet")
+	}
 	if last == nil {
 		last = errs.Wrap(context.Cause(ctx), errs.KindUnavailable, "use a longer timeout", "the call ended before a control VM was called")
 	}
--- a/internal/modules/leafpool/leafpool_test.go
+++ b/internal/modules/leafpool/leafpool_test.go
@@ -18,6 +18,7 @@
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
+	"github.com/chestnuttiller/chestnuttiller/internal/readlimit"
 	"github.com/chestnuttiller/chestnuttiller/internal/routes"
 )
 
@@ -76,7 +77,7 @@
 	require.NoError(t, err)
 	control := kernel.NewTestControl()
 	control.SetTestView(&kernel.View{Routes: table, EntryVMs: 1, Leaves: &leaves.Index{Services: map[model.ServiceName][]*leaves.Member{"s": {l}}}})
-	m := &Module{control: control, protocol: lineProtocol{}, logger: log.NewNopLogger(), now: time.Now, pools: map[leaves.Key]*pool{}, recheck: make(chan struct{}, 1), metrics: newMetrics(tally.NoopScope), replyMemory: newReplyMemory(0)}
+	m := &Module{control: control, protocol: lineProtocol{}, logger: log.NewNopLogger(), now: time.Now, pools: map[leaves.Key]*pool{}, recheck: make(chan struct{}, 1), metrics: newMetrics(tally.NoopScope), replyMemory: readlimit.ForVM(0, uncountedReplyBytes)}
 	m.runCtx, m.cancel = context.WithCancel(context.Background())
 	t.Cleanup(func() { _ = m.Stop(context.Background()) })
 	return m
--- a/internal/modules/leafpool/module.go
+++ b/internal/modules/leafpool/module.go
@@ -57,11 +57,6 @@
 	// replyGrace is how long after the timeout of an attempt its reply may still arrive, since the leaf counts the remaining
 	// time from the arrival of the request.
 	replyGrace = 100 * time.Millisecond
-	// replyMemoryShare is the part of the VM's memory limit that replies may use while they are read. Their buffers hold up
-	// to twice as many bytes as were read.
-	replyMemoryShare = 0.125
-	// defaultReplyMemory applies where the settings give no memory limit, in bytes.
-	defaultReplyMemory = 64 << 20
 	// uncountedReplyBytes is more than most replies have. The connections limit the memory for them.
 	uncountedReplyBytes = 32 << 10
 	// maxInlineBytes is the size up to which a request is written on the caller's goroutine. It fits the socket buffer of an
@@ -119,22 +114,13 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probe, Interval: probe, Count: maxLostProbes},
 	}
 	m.metrics = newMetrics(ctx.Scope("leaf_connections"))
-	m.replyMemory = newReplyMemory(s.Int("vm", "memory_limit_mb"))
+	m.replyMemory = readlimit.ForVM(s.Int("vm", "memory_limit_mb"), uncountedReplyBytes)
 	m.pools = map[leaves.Key]*pool{}
 	var err error
 	m.protocol, err = kernel.Lookup[kernel.LeafProtocol](ctx)
 	return err
 }
 
-// newReplyMemory returns the budget of a VM with a memory limit in MiB, where 0 is no limit.
-func newReplyMemory(limitMB int) *readlimit.Budget {
-	bytes := int64(defaultReplyMemory)
-	if limitMB > 0 {
-		bytes = int64(replyMemoryShare * float64(limitMB) * (1 << 20))
-	}
-	return readlimit.NewBudget(bytes, uncountedReplyBytes)
-}
-
 // Start implements kernel.Starter.
 func (m *Module) Start(ctx context.Context) error {
 	m.runCtx, m.cancel = context.WithCancel(ctx)
--- a/internal/modules/peer/incoming.go
+++ b/internal/modules/peer/incoming.go
@@ -107,8 +107,9 @@
 	}
 }
 
-func (m *Module) serveIncoming(conn net.Conn) {
-	logger := log.With(m.logger, "from", conn.RemoteAddr())
+func (m *Module) serveIncoming(accepted net.Conn) {
+	logger := log.With(m.logger, "from", accepted.RemoteAddr())
+	conn := newSessionConn(accepted)
 	session, err := yamux.Server(conn, m.yamuxConfig())
 	if err != nil {
 		_ = conn.Close() // The connection is discarded, so a failed close does not matter.
@@ -117,18 +118,18 @@
 	defer session.Close()
 	defer context.AfterFunc(m.runCtx, func() { _ = session.Close() })() // The session may be closed already.
 	defer m.incoming.remove(session)
-	hello, err := m.receiveHello(session)
+	hello, err := m.receiveHello(session, conn)
 	if err != nil {
 		_ = level.Warn(logger).Log("msg", "incoming connection refused", "err", err)
 		return
 	}
 	logger = log.With(logger, "peer", hello.GetVm())
 	_ = level.Info(logger).Log("msg", "incoming connection accepted", "incarnation", hello.GetIncarnation(), "availability_zone", hello.GetAvailabilityZone())
-	m.serveStreams(session, model.VMName(hello.GetVm()), logger)
+	m.serveStreams(session, conn, model.VMName(hello.GetVm()), logger)
 }
 
 // receiveHello reads the hello of a new connection and replies to it.
-func (m *Module) receiveHello(session *yamux.Session) (*peerpb.Hello, error) {
+func (m *Module) receiveHello(session *yamux.Session, conn *sessionConn) (*peerpb.Hello, error) {
 	ctx, cancel := context.WithTimeout(m.runCtx, m.opts.helloTimeout)
 	defer cancel()
 	stream, err := session.AcceptStreamWithContext(ctx)
@@ -136,6 +137,7 @@
 		return nil, err
 	}
 	defer stream.Close()
+	defer conn.track(stream)()
 	defer interruptOn(ctx, stream)()
 	var hello peerpb.Hello
 	if err := readMessage(stream, &hello, maxHelloBytes); err != nil {
@@ -156,7 +158,7 @@
 }
 
 // serveStreams serves the streams of one connection until it ends.
-func (m *Module) serveStreams(session *yamux.Session, from model.VMName, logger log.Logger) {
+func (m *Module) serveStreams(session *yamux.Session, conn *sessionConn, from model.VMName, logger log.Logger) {
 	ctx, cancel := context.WithCancel(m.runCtx)
 	// Cancels the contexts of the handlers as soon as the connection ends, so that they free their slots.
 	go func() {
@@ -178,6 +180,7 @@
 			defer streams.Done()
 			defer func() { <-slots }()
 			defer stream.Close()
+			defer conn.track(stream)()
 			if err := m.serveStream(ctx, stream, from, logger); err != nil && isProtocolError(err) {
 				_ = level.Error(logger).Log("msg", "connection closed because of a malformed frame", "err", err)
 				_ = session.Close() // The connection is discarded, so a failed close does not matter.
--- a/internal/modules/peer/outgoing.go
+++ b/internal/modules/peer/outgoing.go
@@ -32,6 +32,7 @@
 // connection is an outgoing connection whose hello was accepted.
 type connection struct {
 	session *yamux.Session
+	conn    *sessionConn
 	hello   *peerpb.Hello
 	// queue holds the messages of Send. While it is full, further ones are dropped.
 	queue chan kernel.PeerMessage
@@ -83,33 +84,35 @@
 	ctx, cancel := context.WithTimeout(p.module.runCtx, p.module.opts.helloTimeout)
 	defer cancel()
 	d := net.Dialer{Timeout: p.module.opts.dialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", p.config.Addr)
+	dialed, err := d.DialContext(ctx, "tcp", p.config.Addr)
 	if err != nil {
 		return nil, err
 	}
+	conn := newSessionConn(dialed)
 	session, err := yamux.Client(conn, p.module.yamuxConfig())
 	if err != nil {
 		_ = conn.Close() // The returned error matters more than a failed close.
 		return nil, err
 	}
-	hello, err := p.sendHello(ctx, session)
+	hello, err := p.sendHello(ctx, session, conn)
 	if err != nil {
 		_ = session.Close() // The returned error matters more than a failed close.
 		return nil, err
 	}
 	return &connection{
-		session: session, hello: hello,
+		session: session, conn: conn, hello: hello,
 		queue: make(chan kernel.PeerMessage, p.module.opts.sendQueue),
 		calls: make(chan struct{}, p.module.opts.callsPerPeer),
 	}, nil
 }
 
-func (p *peer) sendHello(ctx context.Context, session *yamux.Session) (*peerpb.Hello, error) {
+func (p *peer) sendHello(ctx context.Context, session *yamux.Session, conn *sessionConn) (*peerpb.Hello, error) {
 	stream, err := session.OpenStream()
 	if err != nil {
 		return nil, err
 	}
 	defer stream.Close()
+	defer conn.track(stream)()
 	defer interruptOn(ctx, stream)()
 	if err := writeMessage(stream, p.module.ownHello, maxHelloBytes); err != nil {
 		return nil, err
@@ -126,7 +129,7 @@
 
 // interruptOn makes reads and writes of the stream fail once ctx is done.
 func interruptOn(ctx context.Context, stream *yamux.Stream) (release func() bool) {
-	return context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) }) // A closed stream needs no deadline.
+	return context.AfterFunc(ctx, func() { _ = stream.SetDeadline(longPast) }) // A closed stream needs no deadline.
 }
 
 // serve makes the connection available to callers and sends its queue until the connection ends.
@@ -232,6 +235,7 @@
 		return nil, errs.Wrap(err, errs.KindUnavailable, remedy, "message %s to VM %q was not sent", msg.Kind, p.config.Name)
 	}
 	defer stream.Close()
+	defer c.conn.track(stream)()
 	defer interruptOn(ctx, stream)()
 	return p.exchange(ctx, c, stream, msg)
 }
--- a/internal/readlimit/readlimit.go
+++ b/internal/readlimit/readlimit.go
@@ -24,6 +24,22 @@
 	return &Budget{bytes: semaphore.NewWeighted(bytes), free: free}
 }
 
+const (
+	// memoryShare is the part of the memory limit of a VM that one kind of message may use while it is read. Buffers that grow
+	// hold up to twice as many bytes as were read.
+	memoryShare = 0.125
+	// defaultBytes is the budget of a VM without a memory limit.
+	defaultBytes = 64 << 20
+)
+
+// ForVM returns the budget of a VM with a memory limit in MiB, where 0 is no limit.
+func ForVM(memoryLimitMB int, free int64) *Budget {
+	if memoryLimitMB == 0 {
+		return NewBudget(defaultBytes, free)
+	}
+	return NewBudget(int64(memoryShare*float64(memoryLimitMB)*(1<<20)), free)
+}
+
 // Reader reads one message after the other from a source and charges their bytes to a budget. It is used by one
 // goroutine at a time.
 type Reader struct {
