--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -34,6 +34,8 @@
 	*Request
 	// Leaf is the ID of the leaf. A leaf with another ID refuses the request.
 	Leaf string
+	// Repeatable reports whether the request may run more than once.
+	Repeatable bool
 	// Until is when the attempt times out. TimeLeft is the time until then, taken when the request is encoded.
 	Until    time.Time
 	TimeLeft time.Duration
@@ -57,6 +59,8 @@
 	NotRun bool
 	// WrongLeaf reports whether a leaf other than the addressed one replied.
 	WrongLeaf bool
+	// Identified reports whether the reply names the caller's attempt that it answers.
+	Identified bool
 	// Leaving reports whether the leaf states that it is about to end and gets no further requests.
 	Leaving bool
 	// RetryAfter is how long the leaf, which has turned the request away, asks this VM not to send it anything. It is 0 when
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +28,14 @@
 	BodyTimeout time.Duration
 }
 
+// backlogTimeout is how long no further connection has to arrive before the listener is closed. Callers whose connections the
+// operating system has accepted already may have sent their requests.
+// backlogLimit is how long the listener is kept open at most while callers go on connecting.
+const (
+	backlogTimeout = 20 * time.Millisecond
+	backlogLimit   = 200 * time.Millisecond
+)
+
 // acceptPause is the pause after a connection could not be accepted, for example because no file descriptor is free.
 const acceptPause = 50 * time.Millisecond
 
@@ -37,6 +46,10 @@
 	listener net.Listener
 	logger   log.Logger
 	draining atomic.Bool
+	// closeBy is when the listener is closed at the latest, or nil while it is not to be closed. accepted is closed once the
+	// connections that have arrived by then were accepted.
+	closeBy  atomic.Pointer[time.Time]
+	accepted chan struct{}
 
 	mu sync.Mutex
 	// current serves new connections; older serve those that were accepted under earlier options.
@@ -47,7 +60,7 @@
 
 // New returns a server that does not listen yet.
 func New(address string, handler http.Handler, logger log.Logger, o Options) *Server {
-	s := &Server{address: address, handler: handler, logger: logger}
+	s := &Server{address: address, handler: handler, logger: logger, accepted: make(chan struct{})}
 	s.current = s.newGeneration(o)
 	return s
 }
@@ -70,8 +83,10 @@
 // Addr returns the address that the server listens on, once it has started.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-// accept passes new connections to the current generation until the listener is closed.
+// accept passes new connections to the current generation until the listener is closed, or until none has arrived for
+// backlogTimeout after stopAccepting.
 func (s *Server) accept() {
+	defer close(s.accepted)
 	for {
 		c, err := s.listener.Accept()
 		switch {
@@ -81,7 +96,8 @@
 			g.connections.Add(1) // closeUnused keeps a generation that has a connection.
 			s.mu.Unlock()
 			g.serveConn(c)
-		case errors.Is(err, net.ErrClosed):
+			s.limitAccept()
+		case errors.Is(err, net.ErrClosed), s.closeBy.Load() != nil && errors.Is(err, os.ErrDeadlineExceeded):
 			return
 		default:
 			_ = level.Error(s.logger).Log("msg", "listener could not accept a connection", "address", s.address, "err", err)
@@ -135,11 +151,40 @@
 	case <-t.C:
 	case <-ctx.Done():
 	}
+	s.stopAccepting(ctx)
 	err := s.closeAll(func(g *generation) error { return g.server.Shutdown(ctx) })
 	_ = level.Info(s.logger).Log("msg", "HTTP listener has drained", "address", s.address, "err", err)
 	return err
 }
 
+// stopAccepting accepts the connections that have already arrived and returns once no other one does.
+func (s *Server) stopAccepting(ctx context.Context) {
+	if s.listener == nil {
+		return
+	}
+	closeBy := time.Now().Add(backlogLimit)
+	s.closeBy.Store(&closeBy)
+	s.limitAccept()
+	select {
+	case <-s.accepted:
+	case <-ctx.Done():
+	}
+}
+
+// limitAccept lets the listener wait for the next connection no longer than backlogTimeout once it is about to be closed.
+func (s *Server) limitAccept() {
+	l, ok := s.listener.(*net.TCPListener)
+	closeBy := s.closeBy.Load()
+	if !ok || closeBy == nil {
+		return
+	}
+	deadline := time.Now().Add(backlogTimeout)
+	if deadline.After(*closeBy) {
+		deadline = *closeBy
+	}
+	_ = l.SetDeadline(deadline) // A listener that has been closed needs no deadline.
+}
+
 // Stop closes the listener and all connections.
 func (s *Server) Stop() error {
 	return s.closeAll(func(g *generation) error { return g.server.Close() })
--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -144,3 +144,50 @@
 	require.NoError(t, err)
 	require.NoError(t, res.Body.Close())
 }
+
+// Guards against requests that are cut off without an answer because their connections had arrived, but were not accepted yet,
+// when the listener was closed.
+func TestDrainAnswersConnectionsThatHaveArrived(t *testing.T) {
+	for range 5 {
+		s := start(t, replyNoContent, Options{ReadHeaderTimeout: long, IdleTimeout: long, MaxHeaderBytes: 1 << 16})
+		var callers []*caller
+		for range 100 {
+			c := dial(t, s)
+			c.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			callers = append(callers, c)
+		}
+		drained := make(chan error, 1)
+		go func() { drained <- s.Drain(context.Background(), 0) }()
+		for i, c := range callers {
+			res, err := http.ReadResponse(c.reader, nil)
+			require.NoError(t, err, i)
+			require.Equal(t, http.StatusNoContent, res.StatusCode)
+		}
+		require.NoError(t, <-drained)
+	}
+}
+
+// Guards against a drain that does not end while callers go on connecting.
+func TestDrainEndsWhileCallersConnect(t *testing.T) {
+	s := start(t, replyNoContent, Options{ReadHeaderTimeout: long, IdleTimeout: long, MaxHeaderBytes: 1 << 16})
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Millisecond):
+				if c, err := net.Dial("tcp", s.Addr()); err == nil {
+					_ = c.Close() // No request is sent on it.
+				}
+			}
+		}
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), long/2)
+	defer cancel()
+	started := time.Now()
+	require.NoError(t, s.Drain(ctx, 0))
+	// http.Server.Shutdown waits 5 s for a connection on which nothing was received.
+	require.Less(t, time.Since(started), 6*time.Second)
+}
--- a/internal/leaves/check_test.go
+++ b/internal/leaves/check_test.go
@@ -117,10 +117,10 @@
 	var a, b RemoteTable
 	a.Apply([]Leaf{heartbeat("i", "h:1", 5, 10, Ready), heartbeat("j", "h:2", 5, 10, Ready)}, true)
 	b.Apply([]Leaf{heartbeat("i", "h:1", 5, 9, Ready)}, true)
-	index := BuildIndex(start, Newest([]*RemoteTable{&a, &b}), noneLeaving, nil)
+	index := BuildIndex(start, Newest([]*RemoteTable{&a, &b}, nil), noneLeaving, nil)
 	require.Len(t, index.Services["s"], 2)
 	ids := func(tables ...*RemoteTable) (out []string) {
-		index = BuildIndex(start, Newest(tables), leaving, index)
+		index = BuildIndex(start, Newest(tables, nil), leaving, index)
 		for _, m := range index.Services["s"] {
 			out = append(out, m.ID)
 		}
@@ -134,3 +134,20 @@
 	a.Apply([]Leaf{heartbeat("i", "h:1", 6, 1, Ready)}, false)
 	require.Equal(t, []string{"i", "j"}, ids(&a, &b), "the next incarnation")
 }
+
+// Guards against a leaf that has left and is used again because the control VMs were restarted with an older record of it.
+func TestLeafThatLeftDoesNotReturnWithAnOlderRecord(t *testing.T) {
+	table := func(l Leaf) []*RemoteTable {
+		var x RemoteTable
+		x.Apply([]Leaf{l}, true)
+		return []*RemoteTable{&x}
+	}
+	for _, left := range []State{Draining, Deregistered} {
+		before := Newest(table(heartbeat("i", "h:1", 5, 10, left)), nil)
+		for _, old := range []Leaf{heartbeat("i", "h:1", 5, 10, Ready), heartbeat("i", "h:1", 5, 9, Ready), heartbeat("i", "h:1", 4, 50, Expired)} {
+			require.Equal(t, left, Newest(table(old), before)["i"].State)
+		}
+		require.Equal(t, Ready, Newest(table(heartbeat("i", "h:1", 6, 1, Ready)), before)["i"].State, "the next incarnation")
+		require.Empty(t, Newest(nil, before), "it is no longer listed")
+	}
+}
--- a/internal/leaves/index.go
+++ b/internal/leaves/index.go
@@ -51,8 +51,9 @@
 	Count    int
 }
 
-// Newest returns the newest record of each leaf in the tables of several control VMs.
-func Newest(tables []*RemoteTable) map[string]Leaf {
+// Newest returns the newest record of each leaf in the tables of several control VMs. previous holds the records that were the
+// newest before: a leaf that has left does not return with an older record, which a control VM that was restarted may list.
+func Newest(tables []*RemoteTable, previous map[string]Leaf) map[string]Leaf {
 	newest := map[string]Leaf{}
 	for _, t := range tables {
 		for id, l := range t.Leaves {
@@ -64,6 +65,12 @@
 			}
 		}
 	}
+	for id, l := range newest {
+		old, ok := previous[id]
+		if ok && old.State.leaves() && cmp.Or(compareAge(&old, &l), cmp.Compare(precedence(old.State), precedence(l.State))) > 0 {
+			newest[id] = old
+		}
+	}
 	return newest
 }
 
--- a/internal/leaves/leaves.go
+++ b/internal/leaves/leaves.go
@@ -38,6 +38,9 @@
 // ended reports whether a leaf in the state cannot expire any more. It is removed after the retention instead.
 func (s State) ended() bool { return s == Deregistered || s == Expired }
 
+// leaves reports whether a leaf in the state has announced that it gets no new requests.
+func (s State) leaves() bool { return s == Draining || s == Deregistered }
+
 // Leaf is the content of the last heartbeat of a leaf.
 type Leaf struct {
 	ID               string
--- a/internal/leaves/leaves_test.go
+++ b/internal/leaves/leaves_test.go
@@ -101,13 +101,13 @@
 	var a, b RemoteTable
 	a.Apply([]Leaf{heartbeat("i", "h:1", 5, 10, Ready), heartbeat("j", "h:2", 5, 10, Expired), heartbeat("k", "h:3", 5, 1, Ready)}, true)
 	b.Apply([]Leaf{heartbeat("i", "h:1", 5, 11, Draining), heartbeat("j", "h:2", 5, 10, Ready)}, true)
-	x := BuildIndex(start, Newest([]*RemoteTable{&a, &b}), noneLeaving, nil)
+	x := BuildIndex(start, Newest([]*RemoteTable{&a, &b}, nil), noneLeaving, nil)
 	var ids []string
 	for _, m := range x.Services["s"] {
 		ids = append(ids, m.ID)
 	}
 	require.Equal(t, []string{"j", "k"}, ids)
-	y := BuildIndex(start, Newest([]*RemoteTable{&a, &b}), noneLeaving, x)
+	y := BuildIndex(start, Newest([]*RemoteTable{&a, &b}, nil), noneLeaving, x)
 	require.Same(t, x.Services["s"][0], y.Services["s"][0])
 }
 
--- a/internal/modules/forwarder/runner.go
+++ b/internal/modules/forwarder/runner.go
@@ -103,7 +103,7 @@
 	m.tracker.AttemptStarted(now, r.route.Name, s.Leaf)
 	m.prune(now)
 	m.mu.Unlock()
-	req := &forward.LeafRequest{Request: r.req, Leaf: s.Leaf.ID, Until: s.Until}
+	req := &forward.LeafRequest{Request: r.req, Leaf: s.Leaf.ID, Until: s.Until, Repeatable: r.route.Repeatable}
 	a.cancel = m.transport.Send(s.Leaf, req, func(result forward.AttemptResult) { r.finished(a, result) })
 }
 
--- a/internal/modules/leafpool/conn.go
+++ b/internal/modules/leafpool/conn.go
@@ -78,6 +78,8 @@
 	ended bool
 	// used reports whether a reply has been received on the connection.
 	used bool
+	// lastID is the ID of the last request on the connection.
+	lastID string
 }
 
 // readBufferBytes is enough for the replies of most leaves.
@@ -106,7 +108,7 @@
 	c.mu.Lock()
 	ended := c.ended
 	if !ended {
-		c.current, c.written = a, false
+		c.current, c.written, c.lastID = a, false, a.req.ID
 	}
 	c.mu.Unlock()
 	if ended {
@@ -156,6 +158,9 @@
 			return
 		}
 		reply, reusable, err := m.protocol.ReadReply(c.reader, a.req)
+		if err == nil && !reply.Identified && c.wasUsed() {
+			err = errs.New(errs.KindUnavailable, "let the leaf name the attempt in each reply", "a reply on a connection that was used before names no attempt and may be a second copy of an earlier one")
+		}
 		if err != nil {
 			c.fail(err)
 			return
@@ -189,8 +194,9 @@
 	c.mu.Lock()
 	c.writing.Unlock()
 	a := c.current
-	// After a reply that arrived before the whole request was written, the rest of the request would still have to be sent.
-	reusable = reusable && c.written && c.reader.Buffered() == 0
+	// After a reply that arrived before the whole request was written, the rest of the request would still have to be sent. A
+	// second copy of a reply that names no attempt could not be told from the next reply.
+	reusable = reusable && reply.Identified && c.written && c.reader.Buffered() == 0
 	c.current, c.ended, c.used = nil, !reusable, true
 	c.mu.Unlock()
 	if !reusable {
--- a/internal/modules/leafpool/leafpool_test.go
+++ b/internal/modules/leafpool/leafpool_test.go
@@ -37,7 +37,7 @@
 	if line = strings.TrimSpace(line); line != req.ID {
 		return nil, false, errors.New("the reply of another request")
 	}
-	return &forward.LeafReply{Status: 200, Signature: "s", Body: []byte(line)}, true, nil
+	return &forward.LeafReply{Status: 200, Signature: "s", Body: []byte(line), Identified: true}, true, nil
 }
 
 // startLeaf starts a leaf that handles each connection with serve, and returns it with the number of its connections.
@@ -85,7 +85,7 @@
 
 func send(m *Module, l *leaves.Member, id string) (chan forward.AttemptResult, func()) {
 	done := make(chan forward.AttemptResult, 1)
-	req := &forward.LeafRequest{Request: &forward.Request{ID: id}, Until: time.Now().Add(5 * time.Second)}
+	req := &forward.LeafRequest{Request: &forward.Request{ID: id}, Until: time.Now().Add(5 * time.Second), Repeatable: true}
 	return done, m.Send(l, req, func(e forward.AttemptResult) { done <- e })
 }
 
--- a/internal/modules/leafpool/module.go
+++ b/internal/modules/leafpool/module.go
@@ -219,10 +219,11 @@
 	p := m.poolOf(l)
 	refused := p.refuses(m.now())
 	var c *conn
+	replaced := false
 	if !refused {
-		c = p.takeIdle(m.now())
+		c, replaced = p.takeIdle(m.now(), req)
 	}
-	full := c == nil && p.open-p.preconnecting >= limit
+	full := c == nil && !replaced && p.open-p.preconnecting >= limit
 	if c == nil && !full && !refused {
 		p.open++
 	}
--- a/internal/modules/leafpool/pool.go
+++ b/internal/modules/leafpool/pool.go
@@ -34,18 +34,22 @@
 }
 
 // takeIdle removes and returns an idle connection that the leaf is expected to keep open long enough, or returns nil. It
-// closes the other ones that it finds. The caller holds the lock.
-func (p *pool) takeIdle(now time.Time) *conn {
+// closes the other ones that it finds. A request that may run only once does not use a connection on which it was sent before: a
+// second copy of the reply that it has not run would state the same of this attempt. replaced reports whether a connection was
+// closed for this reason. The caller holds the lock.
+func (p *pool) takeIdle(now time.Time, req *forward.LeafRequest) (taken *conn, replaced bool) {
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if c.usableUntil.IsZero() || now.Before(c.usableUntil) {
-			return c
+		sentBefore := !req.Repeatable && c.lastID == req.ID
+		if !sentBefore && (c.usableUntil.IsZero() || now.Before(c.usableUntil)) {
+			return c, replaced
 		}
+		replaced = replaced || sentBefore
 		// The reading goroutine removes the connection from the count once it is closed.
 		go c.net.Close()
 	}
-	return nil
+	return nil, replaced
 }
 
 // retire removes and returns the idle connections, and lets the others be closed once they are idle. The caller holds the
--- a/internal/modules/membership/cache.go
+++ b/internal/modules/membership/cache.go
@@ -15,7 +15,6 @@
 
 	"github.com/chestnuttiller/chestnuttiller/internal/errs"
 	"github.com/chestnuttiller/chestnuttiller/internal/fsys"
-	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
 	"github.com/chestnuttiller/chestnuttiller/internal/modules/membership/membershippb"
 )
@@ -26,6 +25,8 @@
 	// cacheInterval is the shortest time between two writes of the file. Leaves that are missing in it send a heartbeat
 	// within a few seconds.
 	cacheInterval = time.Second
+	// storeTimeout limits the wait for the disk before the departure of a leaf is acknowledged. A leaf waits for a second.
+	storeTimeout = 300 * time.Millisecond
 	// checksumBytes is the size of the checksum at the start of the file.
 	checksumBytes = 8
 )
@@ -39,6 +40,10 @@
 	logger log.Logger
 	// next passes the state to be written to the writing goroutine. It holds at most one state.
 	next chan cachedState
+	// urgent requests that the state at this time is written at once. The result is sent on the channel that it carries.
+	urgent chan chan error
+	// current returns the state at this time.
+	current func(context.Context) (cachedState, error)
 }
 
 // cachedState is the state that a control VM keeps across a restart.
@@ -49,7 +54,7 @@
 }
 
 func newCache(files fsys.FS, folder string, logger log.Logger) *cache {
-	return &cache{files: files, path: filepath.Join(folder, cacheName), logger: logger, next: make(chan cachedState, 1)}
+	return &cache{files: files, path: filepath.Join(folder, cacheName), logger: logger, next: make(chan cachedState, 1), urgent: make(chan chan error)}
 }
 
 // enqueue passes a state to the writing goroutine. It returns false if that goroutine is busy.
@@ -62,21 +67,61 @@
 	}
 }
 
+// writeNow returns once the state at this time, or a later one, is on the disk.
+func (c *cache) writeNow(ctx context.Context) error {
+	done := make(chan error, 1)
+	select {
+	case c.urgent <- done:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // run writes the queued states until the context ends.
 func (c *cache) run(ctx context.Context) {
+	next := c.next
+	var pause <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case next := <-c.next:
-			if err := c.save(next); err != nil {
+		case <-pause:
+			next = c.next
+		case state := <-next:
+			if err := c.save(state); err != nil {
 				_ = level.Warn(c.logger).Log("msg", "leaves not stored on disk; after a restart leaves are missing until they send a heartbeat", "err", err)
 			}
+			next, pause = nil, time.After(cacheInterval)
+		case done := <-c.urgent:
+			c.saveUrgent(ctx, done)
 		}
-		if kernel.Wait(ctx, cacheInterval) != nil {
-			return
+	}
+}
+
+// saveUrgent writes the state at this time for all that have requested it.
+func (c *cache) saveUrgent(ctx context.Context, done chan error) {
+	waiting := []chan error{done}
+	for more := true; more; {
+		select {
+		case done := <-c.urgent:
+			waiting = append(waiting, done)
+		default:
+			more = false
 		}
 	}
+	state, err := c.current(ctx)
+	if err == nil {
+		err = c.save(state)
+	}
+	for _, done := range waiting {
+		done <- err
+	}
 }
 
 func (c *cache) save(stored cachedState) error {
@@ -111,6 +156,28 @@
 	return cachedState{u.leaves, u.entryVMs}, err
 }
 
+// currentState returns the state that is kept across a restart.
+func (m *Module) currentState(ctx context.Context) (state cachedState, err error) {
+	err = m.control.Do(ctx, func(now time.Time) {
+		list, _ := m.table.ChangesSince(0)
+		state = cachedState{list, m.entryVMCount(now)}
+	})
+	return state, err
+}
+
+// storeDeparture waits until the disk holds that a leaf has left, so that the leaf is not used again after a restart. A disk that
+// fails or is slow delays the acknowledgement to the leaf by storeTimeout at most, since other control VMs store it too.
+func (m *Module) storeDeparture(ctx context.Context, id string) {
+	if m.cache == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if err := m.cache.writeNow(ctx); err != nil {
+		_ = level.Warn(m.logger).Log("msg", "departure of a leaf acknowledged before it is on the disk; after a restart of all control VMs the leaf may be listed until it expires", "leaf", id, "err", err)
+	}
+}
+
 // restore adds the leaves that were stored before a restart. They count as if this VM had just received their
 // heartbeats, and expire unless a control VM receives another one.
 func (m *Module) restore(now time.Time, stored cachedState) {
--- a/internal/modules/membership/module.go
+++ b/internal/modules/membership/module.go
@@ -181,6 +181,7 @@
 		m.peers.Handle(kindWatch, m.handleWatch)
 		m.peers.Handle(kindReport, m.handleReport)
 		m.cache = newCache(fsys.OS{}, s.DataFolder, m.logger)
+		m.cache.current = m.currentState
 	}
 	m.peers.OnChange(func(kernel.PeerStatus) { _ = m.control.PostWait(m.runCtx, peersEvent{}) }) // It fails only when the process ends.
 	return nil
@@ -278,7 +279,7 @@
 		}
 	}
 	before := m.newest
-	m.newest = leaves.Newest(tables)
+	m.newest = leaves.Newest(tables, before)
 	m.logChanges(from, before, m.newest)
 	m.index = leaves.BuildIndex(now, m.newest, m.isLeaving, m.index)
 	m.metrics.ready.Update(float64(m.index.Count))
--- a/internal/modules/membership/registry.go
+++ b/internal/modules/membership/registry.go
@@ -11,24 +11,34 @@
 
 // Heartbeat implements kernel.LeafRegistry.
 func (m *Module) Heartbeat(ctx context.Context, l leaves.Leaf) error {
-	return m.changeTable(ctx, func(now time.Time) error {
+	departs := false
+	err := m.changeTable(ctx, func(now time.Time) error {
 		old, found := m.table.Get(l.ID)
+		departs = l.State == leaves.Draining && (!found || old.State != l.State || old.BornMS != l.BornMS)
 		err := m.table.ApplyHeartbeat(now, l)
 		if err != nil || !found || old.State != l.State || old.BornMS != l.BornMS {
 			_ = level.Info(m.logger).Log("msg", "heartbeat decided", "leaf", l.ID, "service", l.Service, "address", l.Address, "state", l.State, "born_ms", l.BornMS, "sequence", l.Sequence, "known_state", old.State, "known_sequence", old.Sequence, "err", err)
 		}
 		return err
 	})
+	if err == nil && departs {
+		m.storeDeparture(ctx, l.ID)
+	}
+	return err
 }
 
 // Deregister implements kernel.LeafRegistry.
 func (m *Module) Deregister(ctx context.Context, id string, bornMS int64) error {
-	return m.changeTable(ctx, func(now time.Time) error {
+	err := m.changeTable(ctx, func(now time.Time) error {
 		err := m.table.Deregister(now, id, bornMS)
 		l, _ := m.table.Get(id)
 		_ = level.Info(m.logger).Log("msg", "leaf deregistered", "leaf", id, "born_ms", bornMS, "state", l.State, "err", err)
 		return err
 	})
+	if err == nil {
+		m.storeDeparture(ctx, id)
+	}
+	return err
 }
 
 // changeTable runs fn on the control goroutine and notifies the watching VMs if the table has changed.
