--- a/internal/forward/run_test.go
+++ b/internal/forward/run_test.go
@@ -331,3 +331,22 @@
 	require.Equal(t, "b", x.Choose(at(210), "r", list[1:2], nil, nil, connections).ID, "an ejected leaf is used when there is no other")
 	require.Nil(t, x.Choose(at(210), "r", list[:1], list[:1], nil, connections))
 }
+
+// Guards against a request that is sent, hedged or retried after its deadline, because the process was paused in between.
+func TestNothingIsSentAfterTheDeadline(t *testing.T) {
+	for _, route := range []*routes.Route{singleRoute(true), singleRoute(false), scatterRoute(0.5)} {
+		sends, response, _ := newRun(route, newEnv("a", "b", "c", "d")).Step(at(10_000))
+		require.Empty(t, sends)
+		require.Equal(t, KindRefused, response.Kind, "nothing was sent, so it has not run")
+		r := newRun(route, newEnv("a", "b", "c", "d"))
+		r.Step(start)
+		sends, response, _ = r.Step(at(10_000))
+		require.Empty(t, sends)
+		require.Equal(t, KindTimeout, response.Kind)
+		r = newRun(route, newEnv("a", "b", "c", "d"))
+		r.Step(start)
+		r.AttemptEnded(0, 0, replyWith(503, true))
+		sends, _, _ = r.Step(at(10_000))
+		require.Empty(t, sends)
+	}
+}
