Open idle connections to leaves again only for services with requests

Leaves close idle connections, and each VM opened them again at once, also those to services that it had no request for: most VMs serve no caller, and 63 of the 118 services are named by no route. Ruled out: requests on idle connections that keep them open (a health check costs more than a connection). Change: a connection that was closed is opened again in advance only if the service had a request within 30 s. The first connection to each preferred leaf is still opened in advance. Test that failed before: TestIdleConnectionsAreOpenedAgainOnlyWithRequests.

--- a/internal/modules/leafpool/leafpool_test.go
+++ b/internal/modules/leafpool/leafpool_test.go
@@ -77,7 +77,7 @@
 	require.NoError(t, err)
 	control := kernel.NewTestControl()
 	control.SetTestView(&kernel.View{Routes: table, EntryVMs: 1, Leaves: &leaves.Index{Services: map[model.ServiceName][]*leaves.Member{"s": {l}}}})
-	m := &Module{control: control, protocol: lineProtocol{}, logger: log.NewNopLogger(), now: time.Now, pools: map[leaves.Key]*pool{}, recheck: make(chan struct{}, 1), metrics: newMetrics(tally.NoopScope), replyMemory: readlimit.ForVM(0, uncountedReplyBytes)}
+	m := &Module{control: control, protocol: lineProtocol{}, logger: log.NewNopLogger(), now: time.Now, pools: map[leaves.Key]*pool{}, requestedAt: map[model.ServiceName]time.Time{}, recheck: make(chan struct{}, 1), metrics: newMetrics(tally.NoopScope), replyMemory: readlimit.ForVM(0, uncountedReplyBytes)}
 	m.runCtx, m.cancel = context.WithCancel(context.Background())
 	t.Cleanup(func() { _ = m.Stop(context.Background()) })
 	return m
@@ -215,6 +215,23 @@
 	require.Eventually(t, func() bool { return count.Load() >= 2 }, 5*time.Second, time.Millisecond)
 }
 
+// Guards against a VM without requests that connects to a leaf each time that the leaf closes the idle connection, and against a
+// VM with requests that does not.
+func TestIdleConnectionsAreOpenedAgainOnlyWithRequests(t *testing.T) {
+	l, count := startLeaf(t, func(c net.Conn, r *bufio.Reader) {
+		time.AfterFunc(2*preconnectInterval, func() { _ = c.Close() })
+		echo(c, r)
+	})
+	m := newModule(t, l, 4)
+	m.choosePreferred(m.control.View())
+	go m.preconnect(m.runCtx)
+	require.Eventually(t, func() bool { return count.Load() == 1 }, 5*time.Second, time.Millisecond)
+	require.Never(t, func() bool { return count.Load() > 1 }, preconnectRetry+8*preconnectInterval, time.Millisecond)
+	done, _ := send(m, l, "a")
+	require.NoError(t, (<-done).Err)
+	require.Eventually(t, func() bool { return count.Load() >= 3 }, 5*time.Second, time.Millisecond, "the request's own connection, and one in advance")
+}
+
 // Guards against requests that wait for connections to all shards of a new index at the same time, although its leaves
 // are listed seconds before a route table names them.
 func TestConnectionsAreOpenedBeforeARouteNamesTheLeaf(t *testing.T) {
--- a/internal/modules/leafpool/module.go
+++ b/internal/modules/leafpool/module.go
@@ -88,6 +88,8 @@
 
 	mu    sync.Mutex
 	pools map[leaves.Key]*pool
+	// requestedAt holds the time of the last request for each service.
+	requestedAt map[model.ServiceName]time.Time
 }
 
 type metrics struct {
@@ -115,7 +117,7 @@
 	}
 	m.metrics = newMetrics(ctx.Scope("leaf_connections"))
 	m.replyMemory = readlimit.ForVM(s.Int("vm", "memory_limit_mb"), uncountedReplyBytes)
-	m.pools = map[leaves.Key]*pool{}
+	m.pools, m.requestedAt = map[leaves.Key]*pool{}, map[model.ServiceName]time.Time{}
 	var err error
 	m.protocol, err = kernel.Lookup[kernel.LeafProtocol](ctx)
 	return err
@@ -217,11 +219,16 @@
 	limit := m.limit(l)
 	m.mu.Lock()
 	p := m.poolOf(l)
-	refused := p.refuses(m.now())
+	now := m.now()
+	if now.Sub(m.requestedAt[l.Service]) > warmTime {
+		m.recheckPreferred() // Connections that were closed meanwhile are opened again.
+	}
+	m.requestedAt[l.Service] = now
+	refused := p.refuses(now)
 	var c *conn
 	replaced := false
 	if !refused {
-		c, replaced = p.takeIdle(m.now(), req)
+		c, replaced = p.takeIdle(now, req)
 	}
 	full := c == nil && !replaced && p.open-p.preconnecting >= limit
 	if c == nil && !full && !refused {
--- a/internal/modules/leafpool/pool.go
+++ b/internal/modules/leafpool/pool.go
@@ -29,6 +29,8 @@
 	pausedUntil time.Time
 	// preconnecting counts the connections that are being opened in advance. Requests do not wait for them.
 	preconnecting int
+	// connected reports whether a connection has been open since the leaf is listed.
+	connected bool
 	// unreachableUntil is when the next connection may be opened in advance, after one could not be opened or ended unused.
 	unreachableUntil time.Time
 }
@@ -97,7 +99,7 @@
 	if p.retired || p.open > limit {
 		return false
 	}
-	p.idle = append(p.idle, c)
+	p.idle, p.connected = append(p.idle, c), true
 	if p.surplus() {
 		if end := p.module.now().Add(surplusIdleTimeout); c.usableUntil.IsZero() || end.Before(c.usableUntil) {
 			c.usableUntil = end
--- a/internal/modules/leafpool/preconnect.go
+++ b/internal/modules/leafpool/preconnect.go
@@ -16,6 +16,9 @@
 	// preconnectRetry is the delay before the next try after a leaf refused a connection, did not respond, or closed a
 	// connection that no request had used.
 	preconnectRetry = 2 * time.Second
+	// warmTime is how long after a request for a service connections that its leaves close are opened again in advance. A VM
+	// without requests for it would otherwise connect again each time that a leaf closes an idle connection.
+	warmTime = 30 * time.Second
 	// startupTime is how long after its start a VM keeps a connection to only one leaf of each service, where leaves accept fewer
 	// connections than there are VMs. Leaves count the connections of VMs that lost power for about another 7 s.
 	startupTime = 10 * time.Second
@@ -122,6 +125,7 @@
 	for k, x := range *set {
 		switch p := m.pools[k]; {
 		case p != nil && (p.open > 0 || p.retired):
+		case p != nil && p.connected && now.Sub(m.requestedAt[x.Service]) > warmTime:
 		case p != nil && (now.Before(p.unreachableUntil) || now.Before(p.pausedUntil)):
 			postponed = true
 		default:
