Hold requests of VMs that need no leaves for longer, and compress long replies

Ruled out: leaves and routes from one control VM only (a VM would follow one that is cut off from the others). Change: a request for neither leaves nor routes is held for up to 5 s, and ended at once when its control VM is chosen for them. Replies of 512 bytes and more are compressed if the receiver states that it reads them; older releases get them as before.

--- a/internal/modules/membership/codec.go
+++ b/internal/modules/membership/codec.go
@@ -4,8 +4,6 @@
 	"math"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/chestnuttiller/chestnuttiller/internal/errs"
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
@@ -85,9 +83,9 @@
 }
 
 func decodeUpdate(data []byte) (update, error) {
-	var reply membershippb.WatchReply
-	if err := proto.Unmarshal(data, &reply); err != nil {
-		return update{}, errs.Wrap(err, errs.KindInvalid, "run the same release on all VMs", "answer to a watch request cannot be decoded")
+	reply, err := decodeReply(data)
+	if err != nil {
+		return update{}, err
 	}
 	u := update{incarnation: reply.GetIncarnation(), tableVersion: reply.GetPosition(), complete: reply.GetComplete(), entryVMs: int(reply.GetEntryVms())}
 	for _, l := range reply.GetLeaves() {
@@ -98,7 +96,6 @@
 		}
 	}
 	u.outlierVersion, u.outliersIncluded = reply.GetTroubleVersion(), reply.GetGathered() != nil || reply.GetTrouble() != nil
-	var err error
 	if u.evidence, err = evidenceFromProto(reply.GetGathered()); err != nil {
 		return update{}, err
 	}
--- a/internal/modules/membership/module.go
+++ b/internal/modules/membership/module.go
@@ -45,9 +45,16 @@
 	// holdTime is how long a control VM holds a watch request when there is no update. It limits the age of the data
 	// that a VM has received.
 	holdTime = time.Second
-	// watchTimeout is how long a VM waits for the answer to a watch request: the hold time and a margin for a slow
-	// control VM.
-	watchTimeout = holdTime + 2*time.Second
+	// lightHoldTime takes the place of holdTime for a VM that requests neither leaves nor routes. The requests of all VMs to
+	// control VMs of other zones would otherwise be a large part of the traffic between zones. It is shorter than
+	// entryVMExpiry.
+	lightHoldTime = 5 * time.Second
+	// maxHoldTime limits the hold time that a request may state.
+	maxHoldTime = 10 * time.Second
+	// watchMargin is how much longer than the hold time a VM waits for the answer of a slow control VM.
+	watchMargin = 2 * time.Second
+	// watchTimeout is how long a VM waits for the answer to a request for leaves or routes.
+	watchTimeout = holdTime + watchMargin
 	// retryPause is the pause before another watch request to a control VM that did not answer.
 	retryPause = 200 * time.Millisecond
 	// entryVMExpiry is how long an entry VM still counts after its last watch request. A VM that is restarted or frozen
@@ -75,7 +82,9 @@
 type source struct {
 	// full reports whether leaves and routes are requested from the control VM. The goroutine that watches it reads
 	// this.
-	full        atomic.Bool
+	full atomic.Bool
+	// endRequest ends the request that is under way.
+	endRequest  atomic.Pointer[context.CancelFunc]
 	remoteTable leaves.RemoteTable
 	// outliers holds the outliers that an entry VM received, and evidence the evidence that a control VM received.
 	outliers    leaves.Outliers
@@ -87,7 +96,24 @@
 }
 
 // responsive reports whether the control VM has answered recently.
-func (s *source) responsive(now time.Time) bool { return now.Sub(s.lastContact) <= watchTimeout }
+func (s *source) responsive(now time.Time) bool {
+	limit := watchTimeout
+	if !s.full.Load() {
+		limit = lightHoldTime + watchMargin
+	}
+	return now.Sub(s.lastContact) <= limit
+}
+
+// sendsOutliers reports whether the outliers or the evidence of the control VM are recent. They are requested with leaves and
+// routes.
+func (s *source) sendsOutliers(now time.Time) bool { return now.Sub(s.lastContact) <= watchTimeout }
+
+// interrupt ends the request that is under way, so that one for other data can take its place.
+func (s *source) interrupt() {
+	if end := s.endRequest.Load(); end != nil {
+		(*end)()
+	}
+}
 
 // Module watches control VMs and, on control VMs, answers the watch requests of other VMs.
 type Module struct {
@@ -100,6 +126,7 @@
 	control     *kernel.Control
 	readiness   *kernel.Readiness
 	peers       kernel.PeerTransport
+	replies     replyEncoder
 	logger      log.Logger
 	metrics     metrics
 	runCtx      context.Context
--- a/internal/modules/membership/outliers.go
+++ b/internal/modules/membership/outliers.go
@@ -112,7 +112,7 @@
 	}
 	var others [][]leaves.Evidence
 	for _, s := range m.sources {
-		if s.responsive(now) {
+		if s.sendsOutliers(now) {
 			others = append(others, s.evidence)
 		}
 	}
@@ -131,7 +131,7 @@
 // since leaves would otherwise be avoided for as long as no control VM answers.
 func (m *Module) applyOutliers(now time.Time) {
 	var outliers leaves.Outliers
-	if s := m.sources[m.primaryControlVM()]; s != nil && s.responsive(now) {
+	if s := m.sources[m.primaryControlVM()]; s != nil && s.sendsOutliers(now) {
 		outliers = s.outliers
 	}
 	m.setOutliers(m.primaryControlVM(), outliers)
--- a/internal/modules/membership/sources.go
+++ b/internal/modules/membership/sources.go
@@ -54,6 +54,7 @@
 	for i, vm := range order {
 		full := m.isControl || i < fullSources
 		if s := m.sources[vm]; s.full.Swap(full) != full {
+			s.interrupt()
 			_ = level.Info(m.logger).Log("msg", "choice of control VMs for leaves and routes changed", "from", vm, "full", full)
 		}
 	}
--- a/internal/modules/membership/watch.go
+++ b/internal/modules/membership/watch.go
@@ -20,7 +20,7 @@
 
 // watch requests updates from one control VM in a loop. The control VM holds each request until there is an update.
 func (m *Module) watch(runCtx context.Context, vm model.VMName, s *source) {
-	req := &membershippb.WatchRequest{Control: m.isControl, NoRoutes: m.isControl}
+	req := &membershippb.WatchRequest{Control: m.isControl, NoRoutes: m.isControl, AcceptsCompressed: true}
 	var lastErr string
 	for runCtx.Err() == nil {
 		light := !s.full.Load()
@@ -28,6 +28,11 @@
 			// A light watch does not update the leaves that were received before, so a full watch requests all again.
 			req.Light, req.Position, req.Incarnation = light, 0, 0
 		}
+		hold := holdTime
+		if light {
+			hold = lightHoldTime
+		}
+		req.HoldMs = uint32(hold.Milliseconds())
 		if wantOutliers := m.isControl || m.primaryControlVM() == vm; wantOutliers != req.Trouble {
 			// Outliers received before are removed with the first answer to a watch request without them.
 			req.Trouble, req.TroubleVersion = wantOutliers, 0
@@ -35,7 +40,10 @@
 		if v := m.control.View().Routes; v != nil {
 			req.RoutesVersion = uint64(v.Version)
 		}
-		u, err := m.sendWatch(runCtx, vm, req)
+		u, err := m.sendWatch(runCtx, vm, s, req, hold+watchMargin)
+		if err != nil && s.full.Load() == light {
+			continue // The request was ended because leaves and routes are to be requested from this control VM now.
+		}
 		if err != nil {
 			if text := string(errs.KindOf(err)); text != lastErr {
 				lastErr = text
@@ -58,13 +66,17 @@
 	}
 }
 
-func (m *Module) sendWatch(runCtx context.Context, vm model.VMName, req *membershippb.WatchRequest) (update, error) {
+func (m *Module) sendWatch(runCtx context.Context, vm model.VMName, s *source, req *membershippb.WatchRequest, timeout time.Duration) (update, error) {
 	data, err := proto.Marshal(req)
 	if err != nil {
 		return update{}, err
 	}
-	ctx, cancel := context.WithTimeout(runCtx, watchTimeout)
+	ctx, cancel := context.WithTimeout(runCtx, timeout)
 	defer cancel()
+	s.endRequest.Store(&cancel)
+	if s.full.Load() == req.Light {
+		cancel() // The choice of control VMs has changed since the request was made.
+	}
 	data, err = m.peers.Call(ctx, vm, kernel.PeerMessage{Kind: kindWatch, Payload: data})
 	if err != nil {
 		return update{}, err
@@ -72,7 +84,8 @@
 	return decodeUpdate(data)
 }
 
-// handleWatch holds the watch request of another VM until there is an update for it, at most for holdTime.
+// handleWatch holds the watch request of another VM until there is an update for it, at most for holdTime or the time that the
+// request states.
 func (m *Module) handleWatch(ctx context.Context, from model.VMName, payload []byte) ([]byte, error) {
 	var req membershippb.WatchRequest
 	if err := proto.Unmarshal(payload, &req); err != nil {
@@ -81,7 +94,11 @@
 	if req.GetControl() {
 		m.addControl(from)
 	}
-	hold := time.NewTimer(holdTime)
+	holdFor := holdTime
+	if ms := req.GetHoldMs(); ms > 0 {
+		holdFor = min(time.Duration(ms)*time.Millisecond, maxHoldTime)
+	}
+	hold := time.NewTimer(holdFor)
 	defer hold.Stop()
 	for last := false; ; {
 		var reply *membershippb.WatchReply
@@ -99,7 +116,7 @@
 			return nil, err
 		}
 		if reply != nil {
-			return proto.Marshal(reply)
+			return m.replies.encode(reply, req.GetAcceptsCompressed())
 		}
 		select {
 		case <-changed:
