Let control VMs grant a part of the extra attempts, and answer entry VMs in batches

Change: half of the slack is granted by control VMs on request ([forward] repeat_pooled), each with an equal part and a sliding window. A control VM collects changes for 30 ms before it answers entry VMs.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -35,10 +35,9 @@
 	// NextReturn returns when the first of the leaves of a service that have asked for a pause takes requests again. It is
 	// zero when none has, or when another leaf takes requests now.
 	NextReturn(now time.Time, service model.ServiceName) time.Time
-	// CountFirst counts a first attempt at a service. TryExtra counts an extra attempt and reports true if the budget of the
-	// service allows it, and reports false otherwise.
+	// CountFirst counts a first attempt at a service. TryExtra counts an extra attempt if the budget of the service allows it.
 	CountFirst(now time.Time, service model.ServiceName)
-	TryExtra(now time.Time, service model.ServiceName, hedge bool) bool
+	TryExtra(now time.Time, service model.ServiceName, hedge bool) Extra
 	// HedgeDelay returns how long an attempt may be unanswered before the request is sent to another leaf as well.
 	HedgeDelay() time.Duration
 }
@@ -198,7 +197,10 @@
 		pending.hedged = true // No other leaf has an available connection, and trying again would only add load.
 		return sends, r.deadline
 	}
-	if !r.env.TryExtra(now, p.service, true) {
+	switch r.env.TryExtra(now, p.service, true) {
+	case ExtraPending:
+		return sends, now.Add(ExtraPollInterval)
+	case ExtraDenied:
 		p.budgetExhausted = true
 		return sends, r.deadline
 	}
@@ -234,9 +236,15 @@
 		if len(p.attempts) == 0 {
 			r.env.CountFirst(now, p.service)
 		}
-	} else if !r.env.TryExtra(now, p.service, false) {
-		p.budgetExhausted, p.failed = true, true
-		return sends
+	} else {
+		switch r.env.TryExtra(now, p.service, false) {
+		case ExtraPending:
+			p.retryAt = now.Add(ExtraPollInterval)
+			return sends
+		case ExtraDenied:
+			p.budgetExhausted, p.failed = true, true
+			return sends
+		}
 	}
 	p.waiting = false
 	reason := causeRetry
--- a/internal/forward/run_test.go
+++ b/internal/forward/run_test.go
@@ -20,11 +20,13 @@
 
 // fakeEnv chooses the leaves of each service in the order of its list.
 type fakeEnv struct {
-	leaves        map[model.ServiceName][]*leaves.Member
-	full          map[string]bool
-	paused        map[string]time.Time
-	hedgeDelay    time.Duration
-	extraLeft     int
+	leaves     map[model.ServiceName][]*leaves.Member
+	full       map[string]bool
+	paused     map[string]time.Time
+	hedgeDelay time.Duration
+	extraLeft  int
+	// pending is how many of the next requests for extra attempts are pending.
+	pending       int
 	firstAttempts int
 }
 
@@ -78,9 +80,16 @@
 }
 
 func (e *fakeEnv) CountFirst(time.Time, model.ServiceName) { e.firstAttempts++ }
-func (e *fakeEnv) TryExtra(time.Time, model.ServiceName, bool) bool {
+func (e *fakeEnv) TryExtra(time.Time, model.ServiceName, bool) Extra {
+	if e.pending > 0 {
+		e.pending--
+		return ExtraPending
+	}
 	e.extraLeft--
-	return e.extraLeft >= 0
+	if e.extraLeft < 0 {
+		return ExtraDenied
+	}
+	return ExtraGranted
 }
 func (e *fakeEnv) HedgeDelay() time.Duration { return e.hedgeDelay }
 
--- a/internal/kernel/interfaces.go
+++ b/internal/kernel/interfaces.go
@@ -42,6 +42,7 @@
 	CapRoutePublisher  Capability = "route_publisher"
 	CapLeafRegistry    Capability = "leaf_registry"
 	CapLeafReporter    Capability = "leaf_reporter"
+	CapExtraGranter    Capability = "extra_granter"
 	CapForwarder       Capability = "forwarder"
 	CapLeafTransport   Capability = "leaf_transport"
 	CapLeafProtocol    Capability = "leaf_protocol"
@@ -298,6 +299,13 @@
 	Report(list []leaves.Evidence)
 }
 
+// ExtraGranter requests extra attempts from the pool that entry VMs share.
+type ExtraGranter interface {
+	// RequestExtras requests one extra attempt at each service. It returns which of them a control VM has granted; an error
+	// means that none is.
+	RequestExtras(ctx context.Context, services []model.ServiceName) (granted []bool, err error)
+}
+
 // Forwarder answers requests that are routed by host and path.
 type Forwarder interface {
 	Forward(ctx context.Context, req *forward.Request) *forward.Response
--- a/internal/modules/forwarder/module.go
+++ b/internal/modules/forwarder/module.go
@@ -32,7 +32,7 @@
 		ID:       "forward.routes",
 		New:      func() kernel.Module { return &Module{} },
 		Needs:    []kernel.Capability{kernel.CapLog, kernel.CapLeafTransport, kernel.CapLeafReporter},
-		Wants:    []kernel.Capability{kernel.CapMetrics},
+		Wants:    []kernel.Capability{kernel.CapMetrics, kernel.CapExtraGranter},
 		Provides: []kernel.Capability{kernel.CapForwarder},
 		Enabled:  kernel.ForRoutes(settings.RoleEntry),
 		Settings: []settings.Key{
@@ -42,14 +42,11 @@
 			{Section: section, Name: "repeat_ratio", Kind: settings.KindFloat, Default: "0.2", Max: 10, Help: "extra attempts (hedges and retries) that all entry VMs together may send to a service, as a share of the requests for it"},
 			{Section: section, Name: "repeat_slack", Kind: settings.KindInt, Default: "50", Max: 1000000, Help: "extra attempts that are allowed in addition to the share"},
 			{Section: section, Name: "repeat_window", Kind: settings.KindDuration, Default: "10s", Min: 1, Max: 600, Help: "time over which extra attempts are counted"},
+			{Section: section, Name: "repeat_pooled", Kind: settings.KindBool, Default: "false", Help: "whether control VMs grant a part of repeat_slack on request, so that a VM can use more than an equal share; their section membership needs the same repeat_slack"},
 		},
 	})
 }
 
-// budgetSafety scales the budget of extra attempts down, so that all VMs together keep to the limit although each
-// counts only its own attempts and may use an outdated number of VMs.
-const budgetSafety = 0.85
-
 // cancelDelay is how long unanswered attempts continue after their request has finished. Cancelling them closes their
 // connections, and an ordinary pause of a leaf is shorter than this.
 const cancelDelay = 250 * time.Millisecond
@@ -72,6 +69,9 @@
 	mu      sync.Mutex
 	tracker *forward.Tracker
 	budgets map[model.ServiceName]*forward.Budget
+	// granter is nil unless control VMs grant a part of the slack. grants holds what they have granted.
+	granter kernel.ExtraGranter
+	grants  *forward.GrantBook
 	random  *rand.Rand
 	waiters waiters
 	// prunedAt is when old observations were last removed.
@@ -95,10 +95,18 @@
 	m.metrics = newMetrics(ctx.Scope("forward"))
 	m.options = forward.Options{CallerDelay: callerDelay(s)}
 	m.limits = forward.BudgetLimits{
-		Ratio:  budgetSafety * s.Float(section, "repeat_ratio"),
-		Slack:  budgetSafety * float64(s.Int(section, "repeat_slack")),
+		Ratio:  forward.BudgetSafety * s.Float(section, "repeat_ratio"),
+		Slack:  forward.BudgetSafety * float64(s.Int(section, "repeat_slack")),
 		Window: s.Duration(section, "repeat_window"),
 	}
+	if s.Bool(section, "repeat_pooled") {
+		m.limits.Slack *= 1 - forward.PooledShare
+		var err error
+		if m.granter, err = kernel.Lookup[kernel.ExtraGranter](ctx); err != nil {
+			return err
+		}
+	}
+	m.grants = forward.NewGrantBook()
 	m.random = ctx.Random()
 	m.tracker = forward.NewTracker(forward.TrackerOptions{Zone: ctx.AvailabilityZone, HedgeQuantile: s.Float(section, "hedge_quantile")}, ctx.Random())
 	m.budgets = map[model.ServiceName]*forward.Budget{}
@@ -187,6 +195,7 @@
 type metrics struct {
 	scope                             tally.Scope
 	first, retries, hedges, cancelled tally.Counter
+	granted                           tally.Counter
 	latency                           tally.Histogram
 	leaving, pauses                   tally.Counter
 	unresponsiveZones                 tally.Gauge
@@ -201,7 +210,7 @@
 	}
 	return metrics{
 		scope: s, first: attempts("first"), retries: attempts("retry"), hedges: attempts("hedge"),
-		cancelled: s.Counter("attempts_cancelled"), latency: s.Histogram("latency", latencyBuckets),
+		cancelled: s.Counter("attempts_cancelled"), granted: s.Counter("extras_granted"), latency: s.Histogram("latency", latencyBuckets),
 		leaving: s.Counter("leaves_leaving"), pauses: s.Counter("leaf_pauses"),
 		unresponsiveZones: s.Gauge("silent_zones"),
 	}
--- a/internal/modules/forwarder/runner.go
+++ b/internal/modules/forwarder/runner.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/chestnuttiller/chestnuttiller/internal/forward"
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
@@ -24,7 +26,9 @@
 	// wakes gets a value when a leaf for which the request waits has an available connection.
 	wakes chan struct{}
 	// waiting lists the services in whose queues the request is.
-	waiting  []model.ServiceName
+	waiting []model.ServiceName
+	// wanted lists the services at which the current step needs extra attempts beyond the budget of this VM.
+	wanted   []model.ServiceName
 	attempts []*attempt
 }
 
@@ -57,9 +61,11 @@
 		now := r.module.now()
 		sends, response, wake := r.state.Step(now)
 		if response != nil {
+			r.withdrawExtras(now)
 			r.cancelPending(cancelDelay)
 			return response
 		}
+		r.requestExtras(now)
 		for _, s := range sends {
 			r.start(now, s)
 		}
@@ -211,20 +217,65 @@
 }
 
 // TryExtra implements forward.Env.
-func (r *runner) TryExtra(now time.Time, service model.ServiceName, hedge bool) bool {
+func (r *runner) TryExtra(now time.Time, service model.ServiceName, hedge bool) forward.Extra {
 	m := r.module
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	b, l := m.budget(service)
 	if !b.TryExtra(now, l, hedge) {
-		return false
+		if m.granter == nil {
+			return forward.ExtraDenied
+		}
+		answer, request := m.grants.Take(now, service)
+		if request {
+			r.wanted = append(r.wanted, service)
+		}
+		if answer != forward.ExtraGranted {
+			return answer
+		}
+		m.metrics.granted.Inc(1)
 	}
 	if hedge {
 		m.metrics.hedges.Inc(1)
 	} else {
 		m.metrics.retries.Inc(1)
 	}
-	return true
+	return forward.ExtraGranted
+}
+
+// withdrawExtras drops the extra attempts that the last step would have needed.
+func (r *runner) withdrawExtras(now time.Time) {
+	if len(r.wanted) == 0 {
+		return
+	}
+	r.module.mu.Lock()
+	defer r.module.mu.Unlock()
+	for _, s := range r.wanted {
+		r.module.grants.Withdraw(s, now)
+	}
+}
+
+// requestExtras requests the extra attempts that the last step needs beyond the budget of this VM.
+func (r *runner) requestExtras(now time.Time) {
+	if len(r.wanted) == 0 {
+		return
+	}
+	m, services := r.module, r.wanted
+	r.wanted = nil
+	go func() {
+		ctx, cancel := context.WithTimeout(m.runCtx, forward.GrantExpiry)
+		defer cancel()
+		granted, err := m.granter.RequestExtras(ctx, services)
+		if err != nil {
+			_ = level.Debug(m.logger).Log("msg", "no extra attempt is granted", "services", len(services), "err", err)
+			granted = make([]bool, len(services))
+		}
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		for i, s := range services {
+			m.grants.Answer(m.now(), s, now, granted[i])
+		}
+	}()
 }
 
 // HedgeDelay implements forward.Env.
--- a/internal/modules/membership/module.go
+++ b/internal/modules/membership/module.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/chestnuttiller/chestnuttiller/internal/forward"
 	"github.com/chestnuttiller/chestnuttiller/internal/fsys"
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
@@ -29,12 +30,14 @@
 		New:      func() kernel.Module { return &Module{} },
 		Needs:    []kernel.Capability{kernel.CapLog, kernel.CapPeerTransport},
 		Wants:    []kernel.Capability{kernel.CapMetrics, kernel.CapStateMachine},
-		Provides: []kernel.Capability{kernel.CapLeafRegistry, kernel.CapLeafReporter},
+		Provides: []kernel.Capability{kernel.CapLeafRegistry, kernel.CapLeafReporter, kernel.CapExtraGranter},
 		Enabled:  func(s *settings.Settings) bool { return s.Traffic == settings.TrafficRoutes },
 		Settings: []settings.Key{
 			{Section: section, Name: "leaf_lapse", Kind: settings.KindDuration, Default: "8s", Min: 0.1, Max: 600, Help: "time without a heartbeat after which a leaf is used only if its service has no other leaf; several heartbeats may be late"},
 			{Section: section, Name: "orphan_lapse", Kind: settings.KindDuration, Default: "20s", Min: 0.1, Max: 3600, Help: "time for which leaves are kept while their control VM is not reachable"},
 			{Section: section, Name: "retain", Kind: settings.KindDuration, Default: "10m", Min: 1, Max: 86400, Help: "time for which tombstones of ended leaves are kept"},
+			{Section: section, Name: "repeat_slack", Kind: settings.KindInt, Default: "0", Max: 1000000, Help: "on control VMs, repeat_slack of the section forward on entry VMs with repeat_pooled; a part of it is granted to entry VMs on request"},
+			{Section: section, Name: "repeat_window", Kind: settings.KindDuration, Default: "10s", Min: 1, Max: 600, Help: "on control VMs, repeat_window of the section forward on entry VMs"},
 		},
 	})
 }
@@ -49,6 +52,9 @@
 	// control VMs of other zones would otherwise be a large part of the traffic between zones. It is shorter than
 	// entryVMExpiry.
 	lightHoldTime = 5 * time.Second
+	// batchDelay is how long a control VM collects further changes before it answers an entry VM. Leaves start and leave many at
+	// a time, and an answer for each would go to every entry VM.
+	batchDelay = 30 * time.Millisecond
 	// maxHoldTime limits the hold time that a request may state.
 	maxHoldTime = 10 * time.Second
 	// watchMargin is how much longer than the hold time a VM waits for the answer of a slow control VM.
@@ -144,8 +150,10 @@
 	outlierPool    outlierPool
 	// newest holds the records of which index was built. leaving holds the incarnations that have replied to this VM that
 	// they are leaving, and when a control VM last listed them.
-	newest  map[string]leaves.Leaf
-	leaving map[leaves.Key]time.Time
+	newest map[string]leaves.Leaf
+	// extraPool holds the extra attempts that a control VM grants.
+	extraPool *forward.ExtraPool
+	leaving   map[leaves.Key]time.Time
 	// fewerSince is the time since which fewer entry VMs are reported than the number in use; zero if there are not
 	// fewer.
 	fewerSince time.Time
@@ -168,6 +176,8 @@
 	ready, draining, expired, routesVersion, entryVMs, outliers tally.Gauge
 	// invalidRecords counts the records of leaves that were ignored.
 	invalidRecords tally.Counter
+	// extrasGranted and extrasDenied count the extra attempts that entry VMs requested.
+	extrasGranted, extrasDenied tally.Counter
 }
 
 func newMetrics(s tally.Scope) metrics {
@@ -175,6 +185,7 @@
 		ready: s.Gauge("leaves_ready"), draining: s.Gauge("leaves_draining"), expired: s.Gauge("leaves_lapsed"),
 		routesVersion: s.Gauge("routes_version"), entryVMs: s.Gauge("entry_vms"),
 		outliers: s.Gauge("leaves_in_trouble"), invalidRecords: s.Counter("invalid_records"),
+		extrasGranted: s.Counter("extras_granted"), extrasDenied: s.Counter("extras_denied"),
 	}
 }
 
@@ -207,6 +218,8 @@
 		}
 		m.peers.Handle(kindWatch, m.handleWatch)
 		m.peers.Handle(kindReport, m.handleReport)
+		m.extraPool = forward.NewExtraPool(ctx.Now(), s.Int(section, "repeat_slack"), s.Duration(section, "repeat_window"))
+		m.peers.Handle(kindExtra, m.handleExtra)
 		m.cache = newCache(fsys.OS{}, s.DataFolder, m.logger)
 		m.cache.current = m.currentState
 	}
--- a/internal/modules/membership/module_test.go
+++ b/internal/modules/membership/module_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/chestnuttiller/chestnuttiller/internal/errs"
 	"github.com/chestnuttiller/chestnuttiller/internal/fsys/fsystest"
@@ -160,3 +162,34 @@
 	_, err = c.load()
 	require.Equal(t, errs.KindCorrupt, errs.KindOf(err))
 }
+
+// Guards against an answer to each entry VM for each of many leaves that start at the same time.
+func TestChangesAreBatchedForEntryVMs(t *testing.T) {
+	m := newModule()
+	m.control, m.entryLastWatch = kernel.StartTestControl(t.Context()), map[model.VMName]time.Time{}
+	answers := 0
+	req := &membershippb.WatchRequest{Incarnation: m.incarnation}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range 50 {
+			err := m.Heartbeat(t.Context(), leaves.Leaf{ID: fmt.Sprint("i", i), Service: "s", Address: fmt.Sprint("10.0.0.1:", 80+i), State: leaves.Ready, BornMS: int64(i + 1), Sequence: 1})
+			if err != nil {
+				t.Error(err)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	for listed := 0; listed < 50; answers++ {
+		data, err := proto.Marshal(req)
+		require.NoError(t, err)
+		data, err = m.handleWatch(t.Context(), "entry", data)
+		require.NoError(t, err)
+		reply, err := decodeReply(data)
+		require.NoError(t, err)
+		listed += len(reply.GetLeaves())
+		req.Position = reply.GetPosition()
+	}
+	<-done
+	require.Less(t, answers, 15)
+}
--- a/internal/modules/membership/watch.go
+++ b/internal/modules/membership/watch.go
@@ -120,6 +120,9 @@
 		}
 		select {
 		case <-changed:
+			if !req.GetControl() {
+				_ = kernel.Wait(ctx, batchDelay) // The next step ends if the context has.
+			}
 		case <-outliersChanged:
 		case <-hold.C:
 			last = true
