--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -28,12 +28,12 @@
 	BodyTimeout time.Duration
 }
 
-// backlogTimeout is how long no further connection has to arrive before the listener is closed. Callers whose connections the
-// operating system has accepted already may have sent their requests.
-// backlogLimit is how long the listener is kept open at most while callers go on connecting.
 const (
+	// backlogTimeout is how long no further connection has to arrive before the listener is closed. Callers whose connections
+	// the operating system has accepted already may have sent their requests.
 	backlogTimeout = 20 * time.Millisecond
-	backlogLimit   = 200 * time.Millisecond
+	// backlogLimit is how long the listener is kept open at most while callers go on connecting.
+	backlogLimit = 200 * time.Millisecond
 )
 
 // acceptPause is the pause after a connection could not be accepted, for example because no file descriptor is free.
--- a/internal/leaves/index.go
+++ b/internal/leaves/index.go
@@ -67,7 +67,7 @@
 	}
 	for id, l := range newest {
 		old, ok := previous[id]
-		if ok && old.State.leaves() && cmp.Or(compareAge(&old, &l), cmp.Compare(precedence(old.State), precedence(l.State))) > 0 {
+		if ok && old.State.departing() && cmp.Or(compareAge(&old, &l), cmp.Compare(precedence(old.State), precedence(l.State))) > 0 {
 			newest[id] = old
 		}
 	}
--- a/internal/leaves/leaves.go
+++ b/internal/leaves/leaves.go
@@ -38,8 +38,8 @@
 // ended reports whether a leaf in the state cannot expire any more. It is removed after the retention instead.
 func (s State) ended() bool { return s == Deregistered || s == Expired }
 
-// leaves reports whether a leaf in the state has announced that it gets no new requests.
-func (s State) leaves() bool { return s == Draining || s == Deregistered }
+// departing reports whether a leaf in the state has announced that it gets no new requests.
+func (s State) departing() bool { return s == Draining || s == Deregistered }
 
 // Leaf is the content of the last heartbeat of a leaf.
 type Leaf struct {
@@ -71,8 +71,8 @@
 	// maxClockLead is how far the start of a leaf may lie ahead of the clock of a control VM. A record that is later would
 	// outrank all heartbeats of the leaf with that ID.
 	maxClockLead = 24 * time.Hour
-	// maxHeartbeatsPerMS is how many heartbeats a leaf sends in a millisecond at most. A sequence number that is higher than
-	// this and the age of the incarnation allow would outrank the next heartbeats of the leaf.
+	// maxHeartbeatsPerMS is the highest rate at which a leaf counts its heartbeats. A record with a higher sequence number than
+	// the age of its incarnation allows would outrank the next heartbeats of the leaf.
 	maxHeartbeatsPerMS = 1
 )
 
@@ -185,7 +185,7 @@
 func (t *Table) Version() uint64 { return t.version }
 
 // ApplyHeartbeat applies a heartbeat that this VM received. An error of kind conflict means that the heartbeat is older than
-// the record in the table, one of kind invalid that no leaf sends such a heartbeat; both changed nothing.
+// the record in the table, and one of kind invalid that no leaf sends such a heartbeat. Neither changes anything.
 func (t *Table) ApplyHeartbeat(now time.Time, l Leaf) error {
 	l.Origin = t.self
 	if err := l.checkAge(now); err != nil {
