--- a/internal/kernel/interfaces.go
+++ b/internal/kernel/interfaces.go
@@ -286,6 +286,8 @@
 // LeafRegistry applies the heartbeats and deregistrations of leaves, on control VMs. A refusal is a typed error.
 type LeafRegistry interface {
 	Heartbeat(ctx context.Context, l leaves.Leaf) error
+	// Refused counts and logs a heartbeat that could not be decoded, or that no leaf can send. id is the ID that it names.
+	Refused(id string, err error)
 	// Deregister records that a leaf has ended. bornMS is the start time of its incarnation, or 0 when none is given.
 	Deregister(ctx context.Context, id string, bornMS int64) error
 }
--- a/internal/modules/membership/compress_test.go
+++ b/internal/modules/membership/compress_test.go
@@ -120,3 +120,23 @@
 	require.Less(t, lightHoldTime+watchMargin, entryVMExpiry)
 	require.LessOrEqual(t, lightHoldTime, maxHoldTime)
 }
+
+// Guards against a crash, or an impossible leaf, after an answer or a copy on disk that is damaged.
+func FuzzDecodeUpdate(f *testing.F) {
+	var e replyEncoder
+	for _, compressed := range []bool{false, true} {
+		data, err := e.encode(longReply(20), compressed)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		u, err := decodeUpdate(data)
+		for i := range u.leaves {
+			if err == nil && u.leaves[i].Check() != nil {
+				t.Fatalf("leaf %+v is not valid", u.leaves[i])
+			}
+		}
+	})
+}
--- a/internal/modules/membership/module.go
+++ b/internal/modules/membership/module.go
@@ -133,6 +133,7 @@
 	readiness   *kernel.Readiness
 	peers       kernel.PeerTransport
 	replies     replyEncoder
+	refusals    refusals
 	logger      log.Logger
 	metrics     metrics
 	runCtx      context.Context
