Answer requests whose header is read while the listener drains

Cause: http.Server.Shutdown drops a request whose header it has read after the shutdown began, without an answer. A caller that had just connected, or had sent a part of its request, lost it (unexpected EOF in the test). Ruled out: a longer delay before the shutdown, since callers go on connecting until the platform notices. Test that failed before: TestDrainWaitsForHalfReadRequests.

--- a/internal/httpserver/generation.go
+++ b/internal/httpserver/generation.go
@@ -20,15 +20,18 @@
 	server      *http.Server
 	source      *connListener
 	connections atomic.Int64
+	// requests tracks which of them have a request.
+	requests connStates
 	// replaced is set once other options are in force. Responses then close their connections.
 	replaced atomic.Bool
 }
 
 func (s *Server) newGeneration(o Options) *generation {
-	g := &generation{parent: s, options: o, source: &connListener{conns: make(chan net.Conn), closed: make(chan struct{})}}
+	g := &generation{parent: s, options: o, source: &connListener{conns: make(chan net.Conn), closed: make(chan struct{})}, requests: newConnStates()}
 	g.server = &http.Server{
 		Handler: g, ReadHeaderTimeout: o.ReadHeaderTimeout, IdleTimeout: o.IdleTimeout, MaxHeaderBytes: o.MaxHeaderBytes,
-		ConnState: func(_ net.Conn, state http.ConnState) {
+		ConnState: func(c net.Conn, state http.ConnState) {
+			g.requests.set(c, state)
 			if state == http.StateClosed {
 				g.connections.Add(-1)
 			}
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -152,7 +152,10 @@
 	case <-ctx.Done():
 	}
 	s.stopAccepting(ctx)
-	err := s.closeAll(func(g *generation) error { return g.server.Shutdown(ctx) })
+	err := s.closeAll(func(g *generation) error {
+		g.waitForRequests(ctx)
+		return g.server.Shutdown(ctx)
+	})
 	_ = level.Info(s.logger).Log("msg", "HTTP listener has drained", "address", s.address, "err", err)
 	return err
 }
--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -191,3 +191,22 @@
 	// http.Server.Shutdown waits 5 s for a connection on which nothing was received.
 	require.Less(t, time.Since(started), 6*time.Second)
 }
+
+// Guards against a request that is cut off because only a part of it had been read when the drain began.
+func TestDrainWaitsForHalfReadRequests(t *testing.T) {
+	s := start(t, replyNoContent, Options{ReadHeaderTimeout: long, IdleTimeout: long, MaxHeaderBytes: 1 << 16})
+	head, body := dial(t, s), dial(t, s)
+	head.send("GET / HTTP/1.1\r\nHo")
+	body.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo")
+	drained := make(chan error, 1)
+	time.AfterFunc(short, func() { drained <- s.Drain(context.Background(), 0) })
+	time.Sleep(3 * short)
+	head.send("st: h\r\n\r\n")
+	body.send("dy")
+	for _, c := range []*caller{head, body} {
+		res, err := http.ReadResponse(c.reader, nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusNoContent, res.StatusCode)
+	}
+	require.NoError(t, <-drained)
+}
