Explain a request that was refused because of pauses by the pauses

Cause: a request that is refused before anything is sent was logged with "the service has no leaf" for the services whose leaves have asked for a pause, as its parts did not hold the end of the pause. Ruled out: a second reason text; the reason of the whole request was right. Change: the parts hold the end of the pause. TestPauseOfALeafIsExplained checks the line, and failed before.

--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -112,7 +112,9 @@
 func (r *Run) refusePaused(now time.Time) *Response {
 	var pauses []time.Time
 	for i := range r.parts {
-		if end := r.env.NextReturn(now, r.parts[i].service); end.After(r.lastStart()) {
+		p := &r.parts[i]
+		if end := r.env.NextReturn(now, p.service); end.After(r.lastStart()) {
+			p.pausedUntil = end
 			pauses = append(pauses, end)
 		}
 	}
