Take leaves and routes from control VMs that are connected to a majority

While tracing it: since requests for neither leaves nor routes are held for 5 s, a control VM whose connection was lost and restored counted as unresponsive for as long, and the choice did not prefer connected ones. Ruled out: a lost link of the entry VM (its log has no lost connection); routes from every control VM (each table would cross zones four times for each entry VM). Change: control VMs are ranked by whether they are connected, answer, and list a majority of the control VMs as connected, then by zone. The request after a failure is one that is answered at once. Tests that failed before: TestControlVMsInAMinorityAreNotChosen, TestConnectedControlVMsAreChosenFirst, TestRequestAfterAFailureIsAnsweredAtOnce.

--- a/internal/modules/membership/compress_test.go
+++ b/internal/modules/membership/compress_test.go
@@ -140,3 +140,88 @@
 		}
 	})
 }
+
+// answeringPeers fails the first call, answers the others, and stores the requests.
+type answeringPeers struct {
+	fakePeers
+	requests chan *membershippb.WatchRequest
+}
+
+func (x answeringPeers) Call(ctx context.Context, _ model.VMName, msg kernel.PeerMessage) ([]byte, error) {
+	var req membershippb.WatchRequest
+	if err := proto.Unmarshal(msg.Payload, &req); err != nil {
+		return nil, err
+	}
+	x.requests <- &req
+	if len(x.requests) == 2 {
+
+		return nil, context.DeadlineExceeded
+	}
+	if len(x.requests) > 3 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return proto.Marshal(&membershippb.WatchReply{Incarnation: 7})
+}
+
+// Guards against a control VM that counts as lost for as long as it may hold a request, after its connection was lost and restored, so
+// that a VM follows control VMs that are lost instead.
+func TestRequestAfterAFailureIsAnsweredAtOnce(t *testing.T) {
+	m := newModule()
+	m.runCtx, m.cancel = context.WithCancel(context.Background())
+	defer m.cancel()
+	x := answeringPeers{requests: make(chan *membershippb.WatchRequest, 10)}
+	m.peers = x
+	go m.watch(m.runCtx, "a", &source{})
+	require.Eventually(t, func() bool { return len(x.requests) == 4 }, 5*time.Second, time.Millisecond)
+	var incarnations []uint64
+	for range 4 {
+		incarnations = append(incarnations, (<-x.requests).GetIncarnation())
+	}
+	require.Equal(t, []uint64{0, 7, 0, 7}, incarnations, "a control VM answers incarnation 0 at once")
+}
+
+// Guards against a VM that takes leaves and routes from control VMs that it cannot reach, while it is connected to others that have not
+// answered since their connections were restored.
+func TestConnectedControlVMsAreChosenFirst(t *testing.T) {
+	m := newModule()
+	m.zone = "elsewhere"
+	var peers fakePeers
+	for _, p := range m.peers.(fakePeers) {
+		p.Connected = p.VM == "c" || p.VM == "d"
+		peers = append(peers, p)
+	}
+	m.peers = peers
+	for _, s := range m.sources {
+		s.answered, s.lastContact = true, start
+	}
+	m.chooseSources(start.Add(time.Minute))
+	require.Equal(t, map[model.VMName]bool{"c": true, "d": true}, m.fullSourceVMs())
+	m.sources["d"].failing.Store(true)
+	m.sources["c"].lastContact = start.Add(time.Minute)
+	m.chooseSources(start.Add(time.Minute))
+	require.True(t, m.fullSourceVMs()["c"])
+}
+
+// Guards against a VM that keeps old routes and leaves because both control VMs that it takes them from are cut off from the others,
+// although it reaches all of them.
+func TestControlVMsInAMinorityAreNotChosen(t *testing.T) {
+	m := newModule()
+	m.sources["e5"] = &source{}
+	m.peers = append(m.peers.(fakePeers), kernel.PeerStatus{VM: "e5", AvailabilityZone: "z5", Connected: true, Control: true})
+	connectedTo := map[model.VMName]int{"a": 2, "b": 1, "c": 2, "d": 1, "e5": 2}
+	m.chooseSources(start)
+	require.True(t, m.fullSourceVMs()["b"], "that of the own zone")
+	for vm, s := range m.sources {
+		s.answered, s.lastContact, s.controlVMs = true, start, connectedTo[vm]
+	}
+	m.chooseSources(start)
+	require.False(t, m.fullSourceVMs()["b"])
+	require.False(t, m.fullSourceVMs()["d"])
+	require.Len(t, m.fullSourceVMs(), fullSources)
+	for _, s := range m.sources {
+		s.controlVMs = 1
+	}
+	m.chooseSources(start)
+	require.True(t, m.fullSourceVMs()["b"], "no control VM reaches a majority")
+}
--- a/internal/modules/membership/module.go
+++ b/internal/modules/membership/module.go
@@ -89,13 +89,17 @@
 	// full reports whether leaves and routes are requested from the control VM. The goroutine that watches it reads
 	// this.
 	full atomic.Bool
+	// failing reports whether the last request failed.
+	failing atomic.Bool
 	// endRequest ends the request that is under way.
 	endRequest  atomic.Pointer[context.CancelFunc]
 	remoteTable leaves.RemoteTable
 	// outliers holds the outliers that an entry VM received, and evidence the evidence that a control VM received.
-	outliers    leaves.Outliers
-	evidence    []leaves.Evidence
-	entryVMs    int
+	outliers leaves.Outliers
+	evidence []leaves.Evidence
+	entryVMs int
+	// controlVMs is the number of other control VMs that this one is connected to, by its last answer.
+	controlVMs  int
 	lastContact time.Time
 	// answered reports whether the control VM has answered since the source was added or its leaves were last removed.
 	answered bool
--- a/internal/modules/membership/sources.go
+++ b/internal/modules/membership/sources.go
@@ -27,8 +27,9 @@
 	}
 }
 
-// chooseSources chooses the control VMs from which leaves and routes are requested: those that respond first, then
-// those of the own availability zone, then by a hash that spreads entry VMs over the control VMs. A control VM requests
+// chooseSources chooses the control VMs from which leaves and routes are requested: those that respond first, then those that
+// are connected to a majority of the control VMs, since the others may lack the latest changes, then those of the own
+// availability zone, then by a hash that spreads entry VMs over the control VMs. A control VM requests
 // them from all others.
 func (m *Module) chooseSources(now time.Time) {
 	zones := map[model.VMName]model.AvailabilityZone{}
@@ -41,13 +42,19 @@
 		names = append(names, vm)
 	}
 	rank := func(vm model.VMName) int {
+		reach := 0
 		switch s := m.sources[vm]; {
-		case !connected[vm] || s.answered && !s.responsive(now):
-			return 2
-		case zones[vm] != m.zone:
-			return 1
+		case !connected[vm]:
+			reach = 3
+		case s.failing.Load() || s.answered && !s.responsive(now):
+			reach = 2
+		case s.answered && 2*(s.controlVMs+1) <= len(names):
+			reach = 1
 		}
-		return 0
+		if zones[vm] != m.zone {
+			return 2*reach + 1
+		}
+		return 2 * reach
 	}
 	order := rendezvous.Top(string(m.self), names, len(names))
 	slices.SortStableFunc(order, func(a, b model.VMName) int { return cmp.Compare(rank(a), rank(b)) })
--- a/internal/modules/membership/updates.go
+++ b/internal/modules/membership/updates.go
@@ -48,6 +48,7 @@
 		_ = level.Info(m.logger).Log("msg", "control VM answers", "from", ev.from, "leaves", len(ev.update.leaves), "entry_vms", ev.update.entryVMs)
 	}
 	s.lastContact = now
+	s.controlVMs = len(ev.update.controlVMs)
 	m.logInvalid(ev.from, ev.update.invalid)
 	if ev.update.light {
 		m.removeRemoteTable(now, s)
--- a/internal/modules/membership/watch.go
+++ b/internal/modules/membership/watch.go
@@ -45,6 +45,11 @@
 			continue // The request was ended because leaves and routes are to be requested from this control VM now.
 		}
 		if err != nil {
+			s.failing.Store(true)
+			if light {
+				// A request of the same incarnation would be held, although its answer is to show that the control VM responds again.
+				req.Incarnation = 0
+			}
 			if text := string(errs.KindOf(err)); text != lastErr {
 				lastErr = text
 				_ = level.Warn(m.logger).Log("msg", "control VM does not answer", "from", vm, "err", err)
@@ -58,6 +63,7 @@
 			_ = level.Info(m.logger).Log("msg", "control VM answers again", "from", vm)
 			lastErr = ""
 		}
+		s.failing.Store(false)
 		u.light, u.outliersRequested = light, req.Trouble
 		req.Incarnation, req.Position, req.TroubleVersion = u.incarnation, u.tableVersion, u.outlierVersion
 		if m.control.PostWait(runCtx, updateEvent{vm, u}) != nil {
