--- a/review/standin/leaf.go
+++ b/review/standin/leaf.go
@@ -135,8 +135,8 @@
 	}
 }
 
-// callControl calls the control node that answered the last call, and then the next ones until one acknowledges. given up
-// ends the calls. It returns the node and the time of the acknowledgement.
+// callControl calls the control node that answered the last call, and then the next ones until one acknowledges or givenUp
+// reports true. It returns the node and the time of the acknowledgement.
 func (l *leaf) callControl(method string, body []byte, givenUp func() bool) (*node, time.Time) {
 	l.mu.Lock()
 	first := l.home
