--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -58,7 +58,7 @@
 	total := 0
 	hi := lo
 	for ; hi <= l.last(); hi++ {
-		total += l.entries[hi-l.offset-1].size()
+		total += l.entries[hi-l.offset-1].Size()
 		if total > maxBytes && hi > lo {
 			break
 		}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -126,7 +126,7 @@
 		return EntryID{}, err
 	}
 	e := Entry{Kind: EntryData, Data: data}
-	if n.unappliedBytes > 0 && n.unappliedBytes+e.size() > n.cfg.MaxUnappliedBytes {
+	if n.unappliedBytes > 0 && n.unappliedBytes+e.Size() > n.cfg.MaxUnappliedBytes {
 		return EntryID{}, errs.New(errs.KindNotAccepted, "resend after a pause", "the control log has %d bytes of entries that are not applied yet", n.unappliedBytes)
 	}
 	n.now = unixNano(now)
@@ -153,7 +153,7 @@
 	e.At = max(n.now, n.log.lastAt())
 	n.log.append(e)
 	n.recordMemberships([]Entry{e})
-	n.unappliedBytes += e.size()
+	n.unappliedBytes += e.Size()
 	return EntryID{Term: e.Term, Index: e.Index}
 }
 
@@ -296,7 +296,7 @@
 		e := &rd.Committed[i]
 		n.applied = e.Index
 		if n.role == Leader && e.Term == n.term {
-			n.unappliedBytes -= e.size()
+			n.unappliedBytes -= e.Size()
 		}
 	}
 }
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -147,3 +147,17 @@
 	s.stalled = nil
 	s.until("the learner is promoted", func() bool { return s.leader() != nil && s.leader().node.isVoter(r.id) })
 }
+
+// Guards against a replica that keeps many large entries in memory after a snapshot.
+func TestRetainedEntriesAreLimitedBySize(t *testing.T) {
+	n := newNode(t, 1, 1, 1, 1, 1)
+	for i := range n.log.entries {
+		n.log.entries[i].Data = make([]byte, 100)
+	}
+	elect(t, n)
+	n.Step(Message{Kind: MsgAppendResp, From: "r2", To: "r1", Term: n.term, Index: n.log.last()})
+	drain(n)
+	n.cfg.RetainEntries, n.cfg.RetainBytes = 5, 300
+	n.SnapshotSaved(n.NewSnapshot(nil))
+	require.Equal(t, n.applied-3, n.log.offset)
+}
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -22,16 +22,24 @@
 		return
 	}
 	n.snapshot = s
-	if s.Index <= n.cfg.RetainEntries {
-		return
-	}
-	to := min(s.Index-n.cfg.RetainEntries, n.stable)
-	if to > n.log.offset {
+	if to := min(n.retainAfter(s.Index), n.stable); to > n.log.offset {
 		n.log.compact(to)
 		n.compactMemberships(to)
 	}
 }
 
+// retainAfter returns the index after which the entries up to a snapshot stay in the log.
+func (n *Node) retainAfter(snapshotIndex uint64) uint64 {
+	to, bytes := snapshotIndex, 0
+	for ; to > n.log.offset && snapshotIndex-to < n.cfg.RetainEntries; to-- {
+		bytes += n.log.entries[to-n.log.offset-1].Size()
+		if n.cfg.RetainBytes > 0 && bytes > n.cfg.RetainBytes {
+			break
+		}
+	}
+	return to
+}
+
 // installSnapshot replaces the log by a snapshot, and raises the commit index to it.
 func (n *Node) installSnapshot(s *Snapshot) {
 	n.snapshot = s
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -55,7 +55,8 @@
 // entryOverheadBytes approximates the encoded size of an entry without its data.
 const entryOverheadBytes = 32
 
-func (e *Entry) size() int { return len(e.Data) + entryOverheadBytes + 64*len(e.Members) }
+// Size returns the approximate size of the encoded entry in bytes.
+func (e *Entry) Size() int { return len(e.Data) + entryOverheadBytes + 64*len(e.Members) }
 
 // Member is one member of the group. Members are listed in the order in which they were added.
 type Member struct {
@@ -238,7 +239,9 @@
 	// RetainEntries is the number of entries that stay in the log after a snapshot, so that a member that lags
 	// slightly needs no snapshot.
 	RetainEntries uint64
-	Random        *rand.Rand
+	// RetainBytes limits the size of these entries. 0 means no limit.
+	RetainBytes int
+	Random      *rand.Rand
 	// MaxVoters limits the number of voters. Further members stay learners until a voter is removed. 0 means no
 	// limit.
 	MaxVoters int
--- a/internal/modules/controllog/events.go
+++ b/internal/modules/controllog/events.go
@@ -204,7 +204,7 @@
 	if err := m.machine.Restore(s.Data); err != nil {
 		m.ctx.Fatal(errs.Wrap(err, errs.KindCorrupt, rejoinRemedy, "the state snapshot at entry %d cannot be restored", s.Index))
 	}
-	m.lastSnapshotIndex = s.Index
+	m.lastSnapshotIndex, m.bytesSinceSnapshot = s.Index, 0
 	m.skipProposals(s.Index)
 }
 
@@ -215,17 +215,19 @@
 		if e.Kind == consensus.EntryData {
 			result = m.machine.Apply(e.Index, time.Unix(0, e.At), e.Data)
 		}
+		m.bytesSinceSnapshot += e.Size()
 		m.finishProposal(e, result)
 	}
 }
 
-// maybeSnapshot stores a state snapshot once enough entries have been applied.
+// maybeSnapshot stores a state snapshot once enough entries have been applied, by their number or by their size. Only a
+// snapshot lets segments of the log be removed, so the size bounds the space that the log takes on the disk.
 func (m *Module) maybeSnapshot() {
 	applied := m.node.Status().Applied
-	if m.savingSnapshot || applied < m.lastSnapshotIndex+m.options.snapshotEntries {
+	if m.savingSnapshot || applied < m.lastSnapshotIndex+m.options.snapshotEntries && m.bytesSinceSnapshot < m.options.snapshotBytes {
 		return
 	}
-	m.lastSnapshotIndex = applied
+	m.lastSnapshotIndex, m.bytesSinceSnapshot = applied, 0
 	data, err := m.machine.Snapshot()
 	if err != nil {
 		_ = level.Error(m.logger).Log("msg", "state snapshot not stored because the state cannot be encoded; the control log grows until the next attempt", "err", err)
--- a/internal/modules/controllog/module.go
+++ b/internal/modules/controllog/module.go
@@ -75,8 +75,10 @@
 	lastRead  uint64
 	// lastSnapshotIndex is the index of the last snapshot, or of the last attempt.
 	lastSnapshotIndex uint64
-	savingSnapshot    bool
-	transferDone      chan struct{}
+	// bytesSinceSnapshot is the size of the entries that were applied after lastSnapshotIndex.
+	bytesSinceSnapshot int
+	savingSnapshot     bool
+	transferDone       chan struct{}
 	// loggedForeignVMs are the VMs whose messages of another control group were logged.
 	loggedForeignVMs map[model.VMName]bool
 }
@@ -178,6 +180,7 @@
 		ReplaceAfterTicks: int(m.options.replaceAfter / m.options.tick),
 		ChunkBytes:        m.options.maxMessage,
 		RetainEntries:     m.options.retainEntries,
+		RetainBytes:       m.options.snapshotBytes,
 		Random:            m.random(),
 		Retired:           m.retired,
 	}, stored)
--- a/internal/modules/controllog/module_test.go
+++ b/internal/modules/controllog/module_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"strings"
@@ -18,6 +20,7 @@
 	"github.com/chestnuttiller/chestnuttiller/internal/errs"
 	"github.com/chestnuttiller/chestnuttiller/internal/fsys/fsystest"
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
+	"github.com/chestnuttiller/chestnuttiller/internal/model"
 )
 
 // Guards against a process that restarts with fewer or other entries than it accepted. It
@@ -66,6 +69,38 @@
 	}
 }
 
+// folderBytes returns the size of the files of a control VM.
+func (g *group) folderBytes(vm model.VMName) (total int64) {
+	require.NoError(g.t, filepath.WalkDir(filepath.Join(g.folder, string(vm)), func(_ string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() {
+			return err
+		}
+		info, err := d.Info()
+		if errors.Is(err, fs.ErrNotExist) {
+			return nil // The disk goroutine has removed the file.
+		}
+		total += info.Size()
+		return err
+	}))
+	return total
+}
+
+// Guards against a control log that fills the disk with large entries because only their number leads to a snapshot. The
+// next change was refused for good then, and an older configuration was in force after a restart.
+func TestLargeEntriesDoNotFillTheDisk(t *testing.T) {
+	const snapshotBytes, segmentBytes = 262144, 524288
+	g := newGroup(t, 1, fastKeys+"snapshot_entries = 10000\nsnapshot_bytes = 262144\n")
+	g.form()
+	var last []byte
+	for range 200 {
+		last = g.propose(strings.Repeat("x", 50000))
+	}
+	g.until("the log is within its limit", func() bool { return g.folderBytes("vm-0") < 2*snapshotBytes+4*segmentBytes })
+	g.stop("vm-0")
+	g.start("vm-0")
+	require.Equal(t, string(last), g.state(g.leader()))
+}
+
 // Guards against a VM that restarts with an empty disk and never becomes a voter again, and
 // against entries that are lost when the next VM fails right after the repair.
 func TestLostDisksAreRepaired(t *testing.T) {
--- a/internal/modules/controllog/settings.go
+++ b/internal/modules/controllog/settings.go
@@ -20,7 +20,8 @@
 	{Section: section, Name: "heartbeat_ticks", Kind: settings.KindInt, Default: "2", Min: 1, Max: 100, Help: "ticks between heartbeats of the leader"},
 	{Section: section, Name: "election_ticks", Kind: settings.KindInt, Default: "15", Min: 3, Max: 1000, Help: "minimum ticks without a leader before an election; the actual number is up to twice that"},
 	{Section: section, Name: "snapshot_entries", Kind: settings.KindInt, Default: "10000", Min: 10, Max: 10000000, Help: "entries between snapshots"},
-	{Section: section, Name: "retain_entries", Kind: settings.KindInt, Default: "5000", Min: 0, Max: 10000000, Help: "entries kept in memory after a snapshot for members that lag"},
+	{Section: section, Name: "snapshot_bytes", Kind: settings.KindInt, Default: "33554432", Min: 65536, Max: 1 << 30, Help: "size of the entries between snapshots, if it is reached before snapshot_entries; the disk holds up to twice as much log, besides a few segments and snapshots"},
+	{Section: section, Name: "retain_entries", Kind: settings.KindInt, Default: "5000", Min: 0, Max: 10000000, Help: "entries kept in memory after a snapshot for members that lag, up to the size snapshot_bytes"},
 	{Section: section, Name: "segment_bytes", Kind: settings.KindInt, Default: "16777216", Min: 65536, Max: 1 << 30, Help: "size of a log segment; two are preallocated"},
 	{Section: section, Name: "max_proposal_bytes", Kind: settings.KindInt, Default: "1048576", Min: 1024, Max: 64 << 20, Help: "size of the largest proposal"},
 	{Section: section, Name: "max_unapplied_bytes", Kind: settings.KindInt, Default: "4194304", Min: 1024, Max: 256 << 20, Help: "size of the proposals that a leader accepts before they are committed and applied"},
@@ -41,6 +42,7 @@
 	heartbeatTicks  int
 	electionTicks   int
 	snapshotEntries uint64
+	snapshotBytes   int
 	retainEntries   uint64
 	segmentBytes    int64
 	maxProposal     int
@@ -64,6 +66,7 @@
 		heartbeatTicks:  s.Int(section, "heartbeat_ticks"),
 		electionTicks:   s.Int(section, "election_ticks"),
 		snapshotEntries: uint64(s.Int(section, "snapshot_entries")),
+		snapshotBytes:   s.Int(section, "snapshot_bytes"),
 		retainEntries:   uint64(s.Int(section, "retain_entries")),
 		segmentBytes:    int64(s.Int(section, "segment_bytes")),
 		maxProposal:     s.Int(section, "max_proposal_bytes"),
