--- a/internal/modules/controllog/disk.go
+++ b/internal/modules/controllog/disk.go
@@ -180,7 +180,11 @@
 		records = append(records, wal.Record{Type: wal.TypeState, Data: logcodec.EncodeState(*w.State)})
 	}
 	d.unsynced = w.ID
-	return d.storage.log.Append(records)
+	if err := d.storage.log.Append(records); err != nil || w.Snapshot == nil {
+		return err
+	}
+	// A replica that gets snapshots from its leader may take none itself, so the log is pruned here as well.
+	return d.storage.log.Prune(d.storage.snaps.Oldest())
 }
 
 func (d *disk) flush() error {
--- a/internal/modules/controllog/module_test.go
+++ b/internal/modules/controllog/module_test.go
@@ -285,11 +285,14 @@
 	}
 }
 
+// testSegmentBytes is the size of the log segments of testDisk.
+const testSegmentBytes = 65536
+
 // testDisk starts a disk goroutine on a file system in memory.
 func testDisk(t *testing.T) (*disk, *fsystest.Memory, chan kernel.Event, chan error) {
 	g := newGroup(t, 1, fastKeys)
 	fs := fsystest.NewMemory()
-	st, err := openStorage(fs, g.settings("vm-0"), 65536)
+	st, err := openStorage(fs, g.settings("vm-0"), testSegmentBytes)
 	require.NoError(t, err)
 	events, failures := make(chan kernel.Event, 16), make(chan error, 16)
 	d := startDisk(st, func(ev kernel.Event) { events <- ev }, func(err error) { failures <- err }, func(time.Duration) {})
@@ -353,6 +356,26 @@
 	require.Empty(t, failures)
 }
 
+// Guards against a control log that grows without limit on a replica that lags again and again, and gets a snapshot each
+// time before it takes one itself.
+func TestReceivedSnapshotsPruneTheLog(t *testing.T) {
+	d, fs, events, failures := testDisk(t)
+	start := fs.Used()
+	var index uint64
+	for id := consensus.WriteID(1); id <= 100; id++ {
+		w := &consensus.Write{ID: id, State: &consensus.HardState{Term: 1}, Snapshot: &consensus.Snapshot{Index: index + 10, Term: 1}}
+		index += 12
+		for _, i := range []uint64{index - 1, index} {
+			w.Entries = append(w.Entries, consensus.Entry{Index: i, Term: 1, Kind: consensus.EntryData, Data: make([]byte, 10000)})
+		}
+		d.enqueue(w)
+		require.Equal(t, persistedEvent{id}, <-events)
+	}
+	d.close()
+	require.Empty(t, failures)
+	require.Less(t, fs.Used(), start+4*testSegmentBytes)
+}
+
 // Guards against entries that conflict with a received snapshot and are kept because
 // the process ended before it appended the reset record.
 func TestReplayAfterInterruptedSnapshot(t *testing.T) {
