Elect a leader while all disks of the control group are full

Cause: a replica with a full disk started no election, and dropped the empty entry of a new leader, although both fit into the segment that is allocated. Change: such a replica starts an election one timeout later than the others, and accepts entries without data. Leadership moves away from a full disk only to a voter that has answered that its disk has space; each answer says so, since an acknowledgement of entries used to reset it.

--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"flag"
 	"os"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -186,6 +187,34 @@
 	s.until("the replica catches up", s.converged)
 }
 
+// Guards against a group that elects no leader after a restart because all disks are full, so that replicas go on with a state
+// that is older than the one that was acknowledged.
+func TestAllDisksFull(t *testing.T) {
+	s := healthy(t, 3)
+	require.True(t, s.propose(s.leader()))
+	s.until("the entry is applied", func() bool { return s.leader().applied == s.leader().node.log.last() })
+	want := s.leader().applied
+	for _, r := range s.replicas {
+		s.crash(r)
+		s.start(r)
+		r.node.SetDiskFull(true)
+	}
+	s.until("the entry is applied everywhere", func() bool {
+		return !slices.ContainsFunc(s.replicas, func(r *simReplica) bool { return r.applied < want })
+	})
+	s.until("a leader is elected", func() bool { return s.leader() != nil })
+	leader := s.leader()
+	for range 100 {
+		s.round()
+	}
+	require.Equal(t, leader, s.leader(), "leadership moves between replicas with a full disk")
+	_, err := s.leader().node.Propose(s.now, []byte("x"))
+	require.Equal(t, errs.KindDiskFull, errs.KindOf(err))
+	s.heal()
+	s.until("entries are accepted again", func() bool { return s.leader() != nil && s.propose(s.leader()) })
+	s.until("the replicas catch up", s.converged)
+}
+
 // Guards against a leader that keeps leadership by heartbeats although its disk completes no write.
 func TestDiskStalled(t *testing.T) {
 	s := healthy(t, 3)
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -5,9 +5,11 @@
 	n.electionTimeout = n.cfg.ElectionTicks + n.cfg.Random.IntN(n.cfg.ElectionTicks)
 }
 
-// electable reports whether the replica may start an election.
+// electable reports whether the replica may start an election. One with a full disk may, since an election needs only a few
+// bytes of a segment that is allocated: a group in which all disks are full still needs a leader that commits what is
+// acknowledged and answers reads.
 func (n *Node) electable() bool {
-	return n.isVoter(n.cfg.Replica) && !n.restoring && !n.diskFull && !n.diskStalled()
+	return n.isVoter(n.cfg.Replica) && !n.restoring && !n.diskStalled()
 }
 
 // inLease reports whether the replica leads or has recent contact with a leader. During that time the replica
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -111,7 +111,8 @@
 	}
 	if n.electionElapsed >= n.electionTimeout {
 		n.resetTimeout()
-		if n.electable() {
+		// A replica with a full disk waits for one more timeout, in which the others may be elected.
+		if n.electable() && (!n.diskFull || n.leader == "") {
 			n.campaign(MsgPreVote)
 			return
 		}
@@ -166,7 +167,7 @@
 func (n *Node) diskStalled() bool { return n.pendingWriteTicks >= stallFactor*n.cfg.ElectionTicks }
 
 // SetDiskFull sets whether the disk refuses new entries. A leader with a full disk refuses proposals and transfers
-// leadership; a follower with a full disk drops entries and starts no election.
+// leadership; a follower with a full disk drops entries with data and starts an election later than the others.
 func (n *Node) SetDiskFull(full bool) { n.diskFull = full }
 
 // Persisted marks a write and all writes before it as durable, and releases the messages that depend on them.
@@ -204,7 +205,7 @@
 
 // send queues a message that depends on no write.
 func (n *Node) send(m Message) {
-	m.From = n.cfg.Replica
+	m.From, m.DiskFull = n.cfg.Replica, n.diskFull
 	if m.Term == 0 {
 		m.Term = n.term
 	}
@@ -213,7 +214,7 @@
 
 // sendAfterSync queues a message that may be sent only after everything written up to now is durable.
 func (n *Node) sendAfterSync(m Message) {
-	m.From, m.Term = n.cfg.Replica, n.term
+	m.From, m.Term, m.DiskFull = n.cfg.Replica, n.term, n.diskFull
 	n.deferred = append(n.deferred, m)
 }
 
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -27,8 +27,9 @@
 	probeInFlight bool
 	// ticksSinceContact counts the ticks since the member last answered.
 	ticksSinceContact int
-	diskFull          bool
-	round             uint64
+	// hasAnswered reports whether the member has answered this leader, diskFull what its last answer says.
+	hasAnswered, diskFull bool
+	round                 uint64
 	// matchAtHeartbeat is the value of match at the last heartbeat response, to detect lost messages.
 	matchAtHeartbeat uint64
 	snapshot         *Snapshot
@@ -111,7 +112,7 @@
 }
 
 func (n *Node) handleAppend(m Message) {
-	if n.diskFull && len(m.Entries) > 0 {
+	if n.diskFull && n.needsSpace(m.Entries) {
 		return
 	}
 	if m.Index < n.commit {
@@ -128,6 +129,12 @@
 	n.sendAfterSync(Message{Kind: MsgAppendResp, To: m.From, Index: last})
 }
 
+// needsSpace reports whether entries that are not in the log yet hold data. Others fit into the segment that is allocated, and
+// a new leader needs one to be stored by a quorum.
+func (n *Node) needsSpace(entries []Entry) bool {
+	return slices.ContainsFunc(entries, func(e Entry) bool { return len(e.Data) > 0 && !n.log.matches(e.Index, e.Term) })
+}
+
 // rejectHint returns the index that the leader should probe next: the last one of a log that ends before the given
 // index, and otherwise the one before the whole conflicting term, so that the leader needs one probe per term
 // only.
@@ -199,7 +206,7 @@
 
 func (n *Node) handleHeartbeat(m Message) {
 	n.commitTo(min(m.Commit, n.log.last()))
-	r := Message{Kind: MsgHeartbeatResp, To: m.From, Round: m.Round, DiskFull: n.diskFull}
+	r := Message{Kind: MsgHeartbeatResp, To: m.From, Round: m.Round}
 	if n.persistedTerm == n.term {
 		// The response does not wait for the disk: a slow sync must not make the member look unresponsive.
 		n.send(r)
--- a/internal/consensus/step.go
+++ b/internal/consensus/step.go
@@ -89,7 +89,7 @@
 		return
 	}
 	p.ticksSinceContact = 0
-	p.diskFull = m.DiskFull
+	p.hasAnswered, p.diskFull = true, m.DiskFull
 	switch m.Kind {
 	case MsgAppendResp:
 		n.handleAppendResp(p, m)
--- a/internal/consensus/transfer.go
+++ b/internal/consensus/transfer.go
@@ -5,6 +5,11 @@
 // TransferLeadership transfers leadership to the responsive voter with the most synced entries. The leader refuses
 // proposals during the transfer, which is aborted after an election timeout.
 func (n *Node) TransferLeadership() error {
+	return n.transferTo(func(p *progress) bool { return !p.diskFull })
+}
+
+// transferTo transfers leadership to one of the voters that a filter accepts.
+func (n *Node) transferTo(accepts func(*progress) bool) error {
 	if n.role != Leader {
 		return errs.New(errs.KindNotLeader, "send the request to the leader", "this replica is not the leader of the control group")
 	}
@@ -13,7 +18,7 @@
 	}
 	var best *progress
 	n.eachProgress(func(p *progress) {
-		if n.isVoter(p.id) && n.responsive(p) && !p.diskFull && (best == nil || p.match > best.match) {
+		if n.isVoter(p.id) && n.responsive(p) && accepts(p) && (best == nil || p.match > best.match) {
 			best = p
 		}
 	})
@@ -40,7 +45,9 @@
 			n.addNotice(Notice{Kind: NoticeDiskStalled})
 		}
 		if n.diskFull || n.diskStalled() {
-			_ = n.TransferLeadership() // Without a transfer target the leader keeps serving reads.
+			// A voter that has not answered yet may have a full disk as well, and leadership would move on at once. Without a
+			// transfer target the leader keeps serving reads.
+			_ = n.transferTo(func(p *progress) bool { return p.hasAnswered && !p.diskFull })
 		}
 		return
 	}
