Notice that a full disk of the control log has space again

Seen: a control VM whose disk had been full for longer than [control] retry refused new entries for good. Cause: the space was checked once after the interval, and after that only together with the next write, which a full disk refuses.

Change: both are tried again after each interval until they succeed. TestFreedSpaceIsUsed failed before (the space was not used within 30 s) and passes now.

--- a/internal/modules/controllog/events.go
+++ b/internal/modules/controllog/events.go
@@ -25,8 +25,9 @@
 		group   string
 		message consensus.Message
 	}
-	contactEvent      struct{}
-	retryReserveEvent struct{}
+	contactEvent       struct{}
+	retryReserveEvent  struct{}
+	retrySnapshotEvent struct{}
 )
 
 // HandleEvent implements kernel.Controller.
@@ -74,7 +75,13 @@
 		m.node = nil
 		m.updateStatus()
 	case retryReserveEvent:
-		m.disk.enqueue(reserveTask{})
+		if m.isDiskFull {
+			m.disk.enqueue(reserveTask{})
+			m.control.After(m.options.retry, retryReserveEvent{})
+		}
+	case retrySnapshotEvent:
+		m.savingSnapshot, m.isSnapshotDue = false, true
+		m.flushLater()
 	case groupStoredEvent:
 		m.groupStored(x)
 	}
@@ -224,10 +231,11 @@
 // snapshot lets segments of the log be removed, so the size bounds the space that the log takes on the disk.
 func (m *Module) maybeSnapshot() {
 	applied := m.node.Status().Applied
-	if m.savingSnapshot || applied < m.lastSnapshotIndex+m.options.snapshotEntries && m.bytesSinceSnapshot < m.options.snapshotBytes {
+	isDue := m.isSnapshotDue || applied >= m.lastSnapshotIndex+m.options.snapshotEntries || m.bytesSinceSnapshot >= m.options.snapshotBytes
+	if m.savingSnapshot || !isDue {
 		return
 	}
-	m.lastSnapshotIndex, m.bytesSinceSnapshot = applied, 0
+	m.lastSnapshotIndex, m.bytesSinceSnapshot, m.isSnapshotDue = applied, 0, false
 	data, err := m.machine.Snapshot()
 	if err != nil {
 		_ = level.Error(m.logger).Log("msg", "state snapshot not stored because the state cannot be encoded; the control log grows until the next attempt", "err", err)
@@ -238,12 +246,16 @@
 }
 
 func (m *Module) snapshotDone(ev snapshotEvent) {
-	m.savingSnapshot = false
-	if m.node == nil {
+	if !ev.saved {
+		if !m.snapshotDelayed {
+			_ = level.Error(m.logger).Log("msg", "state snapshot not stored because the disk is full; it is tried again until there is space", "index", ev.snapshot.Index)
+		}
+		m.snapshotDelayed = true
+		m.control.After(m.options.retry, retrySnapshotEvent{}) // A full log takes no further entries that would lead to the next snapshot.
 		return
 	}
-	if !ev.saved {
-		_ = level.Error(m.logger).Log("msg", "state snapshot not stored because the disk is full", "index", ev.snapshot.Index)
+	m.savingSnapshot, m.snapshotDelayed = false, false
+	if m.node == nil {
 		return
 	}
 	m.node.SnapshotSaved(ev.snapshot)
--- a/internal/modules/controllog/fakes_test.go
+++ b/internal/modules/controllog/fakes_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/chestnuttiller/chestnuttiller/internal/errs"
+	"github.com/chestnuttiller/chestnuttiller/internal/fsys"
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
 	"github.com/chestnuttiller/chestnuttiller/internal/settings"
@@ -174,6 +175,8 @@
 	vms     []model.VMName
 	keys    string
 	kernels map[model.VMName]*kernel.Kernel
+	// files replaces the disk of a VM if it is set.
+	files map[model.VMName]fsys.FS
 }
 
 const (
@@ -223,6 +226,11 @@
 func (g *group) start(vm model.VMName) {
 	k, err := kernel.New(g.settings(vm))
 	require.NoError(g.t, err)
+	if files := g.files[vm]; files != nil {
+		m, err := kernel.Lookup[*Module](k.Context())
+		require.NoError(g.t, err)
+		m.files = files
+	}
 	require.NoError(g.t, k.Start(context.Background()))
 	g.kernels[vm] = k
 }
--- a/internal/modules/controllog/module.go
+++ b/internal/modules/controllog/module.go
@@ -53,6 +53,7 @@
 	options  options
 	status   atomic.Pointer[kernel.ControlStatus]
 	lock     func()
+	files    fsys.FS
 	disk     *disk
 	runCtx   context.Context
 	cancel   context.CancelFunc
@@ -78,7 +79,11 @@
 	// bytesSinceSnapshot is the size of the entries that were applied after lastSnapshotIndex.
 	bytesSinceSnapshot int
 	savingSnapshot     bool
-	transferDone       chan struct{}
+	// isSnapshotDue reports whether a snapshot is taken although few entries were applied since the last attempt, which the
+	// full disk refused. snapshotDelayed is set from then until a snapshot is stored.
+	isSnapshotDue   bool
+	snapshotDelayed bool
+	transferDone    chan struct{}
 	// loggedForeignVMs are the VMs whose messages of another control group were logged.
 	loggedForeignVMs map[model.VMName]bool
 }
@@ -88,7 +93,7 @@
 	m.ctx, m.control = ctx, ctx.Control
 	m.logger = ctx.Logger("control_log")
 	m.metrics = newMetrics(ctx.Scope("control_log"))
-	m.options = loadOptions(ctx.Settings)
+	m.options, m.files = loadOptions(ctx.Settings), fsys.OS{}
 	m.runCtx, m.cancel = context.WithCancel(context.Background())
 	m.stopping = make(chan struct{})
 	m.senderVMs, m.loggedForeignVMs = map[consensus.ReplicaID]model.VMName{}, map[model.VMName]bool{}
@@ -118,11 +123,11 @@
 		return errs.Wrap(err, errs.KindConflict, "stop the other process, or correct [data] folder", "%s is in use by another process", folder)
 	}
 	m.lock = unlock
-	st, err := openStorage(fsys.OS{}, m.ctx.Settings, m.options.segmentBytes)
+	st, err := openStorage(m.files, m.ctx.Settings, m.options.segmentBytes)
 	if errs.KindOf(err) == errs.KindCorrupt && m.options.rejoinOnDamage {
 		_ = level.Error(m.logger).Log("msg", "control folder is damaged and was renamed; this VM joins the control group as a new replica", "err", err)
 		if err = renameDamaged(folder); err == nil {
-			st, err = openStorage(fsys.OS{}, m.ctx.Settings, m.options.segmentBytes)
+			st, err = openStorage(m.files, m.ctx.Settings, m.options.segmentBytes)
 		}
 	}
 	if err != nil {
--- a/internal/modules/controllog/module_test.go
+++ b/internal/modules/controllog/module_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/chestnuttiller/chestnuttiller/internal/consensus"
 	"github.com/chestnuttiller/chestnuttiller/internal/errs"
+	"github.com/chestnuttiller/chestnuttiller/internal/fsys"
 	"github.com/chestnuttiller/chestnuttiller/internal/fsys/fsystest"
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
@@ -376,6 +377,36 @@
 	require.Less(t, fs.Used(), start+4*testSegmentBytes)
 }
 
+// Guards against a VM whose control log does not notice that its disk has space again, or that takes no snapshot after the disk
+// had no space for one.
+func TestFreedSpaceIsUsed(t *testing.T) {
+	g := newGroup(t, 1, fastKeys+"snapshot_entries = 10\n")
+	fs := fsystest.NewMemory()
+	g.files = map[model.VMName]fsys.FS{"vm-0": fs}
+	s := g.settings("vm-0")
+	require.NoError(t, saveIdentity(fs, controlFolder(s), identity{Cluster: s.Cluster, VM: s.VM, Replica: newReplicaID(), Initial: loadOptions(s).initial}))
+	g.start("vm-0")
+	g.leader()
+	fs.SetCapacity(fs.Used())
+	var err error
+	g.until("the disk is full", func() bool {
+		_, err = g.log("vm-0").Propose(context.Background(), make([]byte, 60000))
+		return err != nil
+	})
+	require.Equal(t, errs.KindDiskFull, errs.KindOf(err))
+	time.Sleep(100 * time.Millisecond) // Several intervals of [control] retry.
+	fs.SetCapacity(0)
+	g.until("the space is used", func() bool {
+		_, err = g.log("vm-0").Propose(context.Background(), []byte("x"))
+		return err == nil
+	})
+	g.until("a snapshot is stored", func() bool {
+		names, err := fs.List(filepath.Join(g.folder, "vm-0", "control", "snap"))
+		require.NoError(t, err)
+		return len(names) > 0
+	})
+}
+
 // Guards against entries that conflict with a received snapshot and are kept because
 // the process ended before it appended the reset record.
 func TestReplayAfterInterruptedSnapshot(t *testing.T) {
