Free the space of old log segments when the disk of the control log is full

A disk that refuses removals while it is full does not end the process; they are made the next time. TestFullLogIsPruned failed before (the disk stays full) and passes now.

--- a/internal/modules/controllog/disk.go
+++ b/internal/modules/controllog/disk.go
@@ -184,7 +184,15 @@
 		return err
 	}
 	// A replica that gets snapshots from its leader may take none itself, so the log is pruned here as well.
-	return d.storage.log.Prune(d.storage.snaps.Oldest())
+	return d.prune(d.storage.snaps.Oldest())
+}
+
+// prune removes log segments up to an index. Those that a full disk keeps are removed the next time.
+func (d *disk) prune(index uint64) error {
+	if err := d.storage.log.Prune(index); errs.KindOf(err) != errs.KindDiskFull {
+		return err
+	}
+	return nil
 }
 
 func (d *disk) flush() error {
@@ -203,7 +211,11 @@
 // saveLocalSnapshot stores a snapshot of the local state machine and removes the log segments that no kept snapshot
 // needs.
 func (d *disk) saveLocalSnapshot(s *consensus.Snapshot) error {
-	err := d.storage.snaps.Save(s.Index, logcodec.EncodeSnapshot(s))
+	data := logcodec.EncodeSnapshot(s)
+	err := d.storage.snaps.Save(s.Index, data)
+	if errs.KindOf(err) == errs.KindDiskFull && d.freeSpace() {
+		err = d.storage.snaps.Save(s.Index, data)
+	}
 	if errs.KindOf(err) == errs.KindDiskFull {
 		d.post(snapshotEvent{snapshot: s})
 		return nil
@@ -212,7 +224,7 @@
 		return err
 	}
 	d.post(snapshotEvent{snapshot: s, saved: true})
-	return d.storage.log.Prune(d.storage.snaps.Oldest())
+	return d.prune(d.storage.snaps.Oldest())
 }
 
 // diskFullRetryInterval is the pause before a write that a full disk refused is retried.
@@ -245,9 +257,24 @@
 	}
 }
 
+// freeSpace removes the older snapshot and the part of the log that the newest one replaces. It reports whether a segment was
+// removed. The newest snapshot has no substitute then until the next one is stored; a damaged one makes the VM join again.
+func (d *disk) freeSpace() bool {
+	before := d.storage.log.Segments()
+	index, err := d.storage.snaps.KeepNewest()
+	if err == nil {
+		err = d.storage.log.Prune(index)
+	}
+	// A disk that refuses removals while it is full is reported by the write that needs the space.
+	return err == nil && d.storage.log.Segments() < before
+}
+
 // reserve allocates the next segment before it is needed and reports when the disk becomes full or has space again.
 func (d *disk) reserve() error {
 	err := d.storage.log.Reserve()
+	if errs.KindOf(err) == errs.KindDiskFull && d.freeSpace() {
+		err = d.storage.log.Reserve()
+	}
 	full := errs.KindOf(err) == errs.KindDiskFull
 	if err != nil && !full {
 		return err
--- a/internal/modules/controllog/module_test.go
+++ b/internal/modules/controllog/module_test.go
@@ -377,6 +377,42 @@
 	require.Less(t, fs.Used(), start+4*testSegmentBytes)
 }
 
+// Guards against a control log that has filled the disk by itself and keeps it full, although a snapshot replaces most of it.
+func TestFullLogIsPruned(t *testing.T) {
+	d, fs, events, failures := testDisk(t)
+	fs.SetCapacity(fs.Used() + 4*testSegmentBytes)
+	var id consensus.WriteID
+	for full := false; !full; {
+		id++
+		d.enqueue(write(id))
+		if ev := <-events; ev != (persistedEvent{id}) {
+			t.Fatalf("unexpected event %#v", ev)
+		}
+		if id == 10 {
+			d.enqueue(snapshotTask{&consensus.Snapshot{Index: 10, Term: 1}})
+			require.True(t, (<-events).(snapshotEvent).saved)
+		}
+		select {
+		case ev := <-events:
+			require.Error(t, ev.(diskFullEvent).err)
+			full = true
+		case <-time.After(time.Millisecond):
+		}
+	}
+	d.enqueue(snapshotTask{&consensus.Snapshot{Index: uint64(id), Term: 1, Data: make([]byte, 2*testSegmentBytes)}})
+	require.False(t, (<-events).(snapshotEvent).saved, "the disk has no space for it")
+	d.enqueue(snapshotTask{&consensus.Snapshot{Index: uint64(id), Term: 1, Data: make([]byte, 1000)}})
+	require.True(t, (<-events).(snapshotEvent).saved)
+	d.enqueue(reserveTask{})
+	select {
+	case ev := <-events:
+		require.Equal(t, diskFullEvent{}, ev)
+	case <-time.After(waitLimit):
+		t.Fatal("the disk stays full")
+	}
+	require.Empty(t, failures)
+}
+
 // Guards against a VM whose control log does not notice that its disk has space again, or that takes no snapshot after the disk
 // had no space for one.
 func TestFreedSpaceIsUsed(t *testing.T) {
--- a/internal/snap/snap.go
+++ b/internal/snap/snap.go
@@ -84,14 +84,21 @@
 
 func (s *Store) prune() error {
 	for len(s.indexes) > keptSnapshots {
-		if err := s.fs.Remove(s.path(s.indexes[0])); err != nil {
-			return s.fail(err)
+		if err := s.removeOldest(); err != nil {
+			return err
 		}
-		s.indexes = s.indexes[1:]
 	}
 	return nil
 }
 
+func (s *Store) removeOldest() error {
+	if err := s.fs.Remove(s.path(s.indexes[0])); err != nil {
+		return s.fail(err)
+	}
+	s.indexes = s.indexes[1:]
+	return nil
+}
+
 // Oldest returns the index of the older of the two kept snapshots, or 0 while there are fewer than two. The log has
 // to keep the entries after it.
 func (s *Store) Oldest() uint64 {
@@ -101,6 +108,19 @@
 	return s.indexes[0]
 }
 
+// KeepNewest removes all but the newest snapshot, which frees space, and returns its index, or 0 without a snapshot.
+func (s *Store) KeepNewest() (uint64, error) {
+	for len(s.indexes) > 1 {
+		if err := s.removeOldest(); err != nil {
+			return 0, err
+		}
+	}
+	if len(s.indexes) == 0 {
+		return 0, nil
+	}
+	return s.indexes[0], nil
+}
+
 // Load returns the newest undamaged snapshot, or index 0 if there is none, and the paths of newer damaged files. The
 // damaged files no longer count as kept.
 func (s *Store) Load() (index uint64, data []byte, damaged []string, err error) {
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -249,7 +249,8 @@
 	return nil
 }
 
-// Prune removes the leading segments that hold only entries up to an index.
+// Prune removes the leading segments that hold only entries up to an index. After an error of kind disk_full it may be
+// called again; any other error is final.
 func (l *Log) Prune(index uint64) error {
 	if l.failure != nil {
 		return l.failure
@@ -257,7 +258,7 @@
 	removed := false
 	for len(l.segments) > 1 && l.segments[0].maxIndex <= index {
 		if err := l.fs.Remove(l.path(segmentName(l.segments[0].number))); err != nil {
-			return l.fail(err)
+			return l.failUnlessFull(err)
 		}
 		l.segments = l.segments[1:]
 		removed = true
@@ -265,7 +266,15 @@
 	if !removed {
 		return nil
 	}
-	return l.fail(l.fs.SyncFolder(l.folder))
+	return l.failUnlessFull(l.fs.SyncFolder(l.folder))
+}
+
+// failUnlessFull keeps an error like fail, unless the disk is full.
+func (l *Log) failUnlessFull(err error) error {
+	if err == nil || KindOf(err) != errs.KindDiskFull {
+		return l.fail(err)
+	}
+	return errs.Wrap(err, errs.KindDiskFull, "free space in the data folder", "segments of the control log in %s cannot be removed", l.folder)
 }
 
 // Segments returns the number of segments.
