--- a/internal/routescodec/routescodec.go
+++ b/internal/routescodec/routescodec.go
@@ -2,6 +2,7 @@
 package routescodec
 
 import (
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -62,16 +63,19 @@
 		out.Routes = append(out.Routes, routeToProto(&t.Routes[i]))
 	}
 	for _, s := range t.Services {
-		out.Services = append(out.Services, &routespb.Service{Name: string(s.Name), HealthPath: s.HealthPath, MaxConnections: int32(s.MaxConnections)})
+		out.Services = append(out.Services, &routespb.Service{Name: string(s.Name), HealthPath: s.HealthPath, MaxConnections: limitInt32(s.MaxConnections)})
 	}
 	return out
 }
 
+// limitInt32 returns the nearest number of 32 bits. A conversion would change the sign or the size of a greater one.
+func limitInt32(n int) int32 { return int32(max(min(n, math.MaxInt32), math.MinInt32)) }
+
 func routeToProto(r *routes.Route) *routespb.Route {
 	out := &routespb.Route{
 		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Repeatable: r.Repeatable,
-		TimeoutMs: r.Timeout.Milliseconds(), ObjectiveMs: r.Objective.Milliseconds(), Rank: int32(r.Rank),
-		MaxAttempts: int32(r.MaxAttempts), TopRecords: int32(r.TopRecords), MinCoverage: r.MinCoverage,
+		TimeoutMs: r.Timeout.Milliseconds(), ObjectiveMs: r.Objective.Milliseconds(), Rank: limitInt32(r.Rank),
+		MaxAttempts: limitInt32(r.MaxAttempts), TopRecords: limitInt32(r.TopRecords), MinCoverage: r.MinCoverage,
 	}
 	for _, s := range r.Split {
 		out.Split = append(out.Split, &routespb.Share{Service: string(s.Service), Weight: s.Weight})
