--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -198,7 +198,7 @@
 	slots := max(m.Slots, 1)
 	busy := float64(len(s.inFlight))
 	if now.Sub(s.loadAt) < maxLoadAge {
-		busy = max(busy, float64(s.load.Running+s.load.Waiting))
+		busy = max(busy, float64(s.load.Running)+float64(s.load.Waiting))
 		if s.load.LatencyRatio > 1 {
 			latencyRatio = max(latencyRatio, s.load.LatencyRatio)
 		}
