Follow the weights of a split whose sum is infinite

Change: the weights are divided by the greatest one first. TestPickFollowsLargeWeights failed before and passes now.

--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -184,21 +184,25 @@
 
 // Pick returns the service of a split route that a number from 0 up to, but not including, 1 selects by the weights.
 func (r *Route) Pick(number float64) model.ServiceName {
-	var totalWeight float64
+	// The sum of the weights themselves may be infinite.
+	var greatest, total float64
 	for _, s := range r.Split {
-		totalWeight += s.Weight
+		greatest = max(greatest, s.Weight)
 	}
-	number *= totalWeight
+	for _, s := range r.Split {
+		total += s.Weight / greatest
+	}
+	number *= total
 	last := r.Split[0].Service
 	for _, s := range r.Split {
 		if s.Weight <= 0 {
 			continue
 		}
 		last = s.Service
-		if number < s.Weight {
+		if number < s.Weight/greatest {
 			return s.Service
 		}
-		number -= s.Weight
+		number -= s.Weight / greatest
 	}
 	return last // Reached only through rounding errors.
 }
--- a/internal/routes/routes_test.go
+++ b/internal/routes/routes_test.go
@@ -1,6 +1,7 @@
 package routes
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -74,3 +75,14 @@
 		require.InDelta(t, want, picked, 1)
 	})
 }
+
+// Guards against a split whose requests all go to the last service, because the sum of its weights is infinite.
+func TestPickFollowsLargeWeights(t *testing.T) {
+	r := &Route{Split: []Share{{"a", math.MaxFloat64}, {"b", math.MaxFloat64}, {"c", 0}}}
+	require.Equal(t, model.ServiceName("a"), r.Pick(0))
+	require.Equal(t, model.ServiceName("a"), r.Pick(0.49))
+	require.Equal(t, model.ServiceName("b"), r.Pick(0.51))
+	least := &Route{Split: []Share{{"a", math.SmallestNonzeroFloat64}, {"b", math.SmallestNonzeroFloat64}}}
+	require.Equal(t, model.ServiceName("a"), least.Pick(0.49))
+	require.Equal(t, model.ServiceName("b"), least.Pick(0.51))
+}
