Hold the results of attempts in a queue that grows

Cause: the channel for the results of a request was made for all attempts that the route allows. It was also too small where connections to leaves fail, since attempts that were not sent are not limited by maxAttempts, and would have blocked their connections. Change: a queue without a limit of its own. TestManyAttemptsNeedNoMemory failed before (cannot allocate-byte block) and passes now.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -309,7 +309,7 @@
 	if mayHaveRun > 0 && !r.route.Repeatable {
 		return false
 	}
-	return mayHaveRun < r.route.MaxAttempts && len(p.attempts) < r.route.MaxAttempts+maxUnrunAttempts
+	return mayHaveRun < r.route.MaxAttempts && len(p.attempts)-maxUnrunAttempts < r.route.MaxAttempts
 }
 
 // pending returns the most recently started attempt among those that have not ended, or nil.
--- a/internal/modules/forwarder/module_test.go
+++ b/internal/modules/forwarder/module_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -92,3 +93,13 @@
 	require.Equal(t, 12*time.Millisecond+1500*time.Microsecond, callerDelay(parse("1")))
 	require.Equal(t, 12*time.Millisecond+7500*time.Microsecond, callerDelay(parse("0.2")))
 }
+
+// Guards against a route that allows very many attempts and ends the process with its first request, which allocated memory for all
+// of them.
+func TestManyAttemptsNeedNoMemory(t *testing.T) {
+	for _, attempts := range []int{math.MaxInt32, math.MaxInt} {
+		m, _ := newPartitionModule(t)
+		m.control.View().Routes.Routes[0].MaxAttempts = attempts
+		require.Equal(t, forward.KindMerged, m.forwardRequest(time.Second).Kind)
+	}
+}
--- a/internal/modules/forwarder/runner.go
+++ b/internal/modules/forwarder/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -22,7 +23,7 @@
 	route   *routes.Route
 	version routes.Version
 	state   *forward.Run
-	results chan attemptResult
+	results *resultQueue
 	// wakes gets a value when a leaf for which the request waits has an available connection.
 	wakes chan struct{}
 	// waiting lists the services in whose queues the request is.
@@ -49,12 +50,39 @@
 	result  forward.AttemptResult
 }
 
+// resultQueue passes the results of attempts to the goroutine of the request. Adding one never blocks, whatever the number of
+// attempts that the route allows, since a connection may add one after the request has finished.
+type resultQueue struct {
+	mu   sync.Mutex
+	list []attemptResult
+	// added gets a value after a result was added.
+	added chan struct{}
+}
+
+func newResultQueue() *resultQueue { return &resultQueue{added: make(chan struct{}, 1)} }
+
+func (q *resultQueue) add(x attemptResult) {
+	q.mu.Lock()
+	q.list = append(q.list, x)
+	q.mu.Unlock()
+	select {
+	case q.added <- struct{}{}:
+	default: // A value is already pending.
+	}
+}
+
+func (q *resultQueue) take() []attemptResult {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	list := q.list
+	q.list = nil
+	return list
+}
+
 // serve runs the request until there is a response or the caller has disconnected.
 func (r *runner) serve() *forward.Response {
 	defer r.leaveQueues()
-	// The channel buffers the results of all attempts, so that none waits for the request's goroutine.
-	_, parts := r.state.Answered()
-	r.results = make(chan attemptResult, parts*(r.route.MaxAttempts+maxUnrun))
+	r.results = newResultQueue()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
@@ -78,10 +106,9 @@
 		}
 		timer.Reset(max(wake.Sub(r.module.now()), 0))
 		select {
-		case x := <-r.results:
-			r.record(x)
-			for n := len(r.results); n > 0; n-- {
-				r.record(<-r.results)
+		case <-r.results.added:
+			for _, x := range r.results.take() {
+				r.record(x)
 			}
 		case <-r.wakes:
 		case <-timer.C:
@@ -92,10 +119,6 @@
 	}
 }
 
-// maxUnrun is an upper bound of the attempts that a part can have beyond the MaxAttempts of its route. Such attempts
-// replace those that leaves did not run.
-const maxUnrun = 8
-
 func (r *runner) record(x attemptResult) {
 	x.attempt.ended = true
 	r.state.AttemptEnded(x.attempt.part, x.attempt.index, x.result)
@@ -128,7 +151,7 @@
 		m.reporter.MarkLeaving(a.leaf.Key())
 	}
 	m.logVerdict(r, a.leaf, &result, verdict)
-	r.results <- attemptResult{a, result}
+	r.results.add(attemptResult{a, result})
 }
 
 // cancelPending cancels the attempts that have not ended, either after the delay or, if it is 0, immediately.
