Answer every request before a VM ends

Reproduced: of 50 requests on kept connections in the course of a stop of 3 s, one that was sent near its end ran at its leaf and was cut off, and so was one whose leaf was silent. Cause: the drain waited for all requests before it closed idle connections; nothing compared the time left with what a request needs; the end of the time limit closed connections instead of answering. Ruled out: requests of short latency and changed limits beside a drain, which were answered before. Change: connections are closed one by one once they have no request; requests that begin during the drain are passed on only if their own time or the 99th percentile of the route's latency fits; what is held shortly before the limit is answered with 503, 504 or a partial answer. The operator API and the listener for queries use the same server now.

--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -34,6 +34,8 @@
 	KindTooLarge Kind = "too_large"
 	// KindDeadline reports that the deadline passed.
 	KindDeadline Kind = "deadline"
+	// KindShutdown reports that the process is shutting down and does not finish the request.
+	KindShutdown Kind = "shutdown"
 	// KindCorrupt reports damaged durable state.
 	KindCorrupt Kind = "corrupt"
 	// KindDiskFull reports that the data folder has no space left.
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -27,7 +27,11 @@
 		if !r.mayHaveRun() {
 			return r.refuse(now, "no leaf could run the request in time")
 		}
-		return &Response{Kind: KindTimeout, Missing: len(r.parts) - r.answeredParts, Reason: "the deadline has passed"}
+		reason := "the deadline has passed"
+		if !r.endBy.IsZero() {
+			reason = shutdownReason
+		}
+		return &Response{Kind: KindTimeout, Missing: len(r.parts) - r.answeredParts, Reason: reason}
 	}
 	return nil
 }
@@ -88,7 +92,9 @@
 			pauses = append(pauses, p.pausedUntil)
 		}
 	}
-	return &Response{Kind: KindRefused, RetryAfter: retryAfter(now, r.route, pauses), Missing: len(r.parts), Reason: reason}
+	return &Response{
+		Kind: KindRefused, RetryAfter: retryAfter(now, r.route, pauses), TryAnotherVM: !r.endBy.IsZero(), Missing: len(r.parts), Reason: reason,
+	}
 }
 
 // retryAfter returns when a refused caller may retry, given the ends of the pauses of shards: when so many of the pauses have
@@ -107,6 +113,18 @@
 	return min(max(pauses[needed-1].Sub(now), refusalRetryAfter), maxRetryAfter)
 }
 
+// shutdownReason is the reason of responses that are given because the VM is shutting down.
+const shutdownReason = "the VM is shutting down"
+
+// refuseUnfinishable returns the refusal of a request of which nothing was sent, if it is not expected to end before the VM does. It
+// returns nil if the request can be sent.
+func (r *Run) refuseUnfinishable(now time.Time) *Response {
+	if r.fitsShutdown(now) {
+		return nil
+	}
+	return r.refuse(now, shutdownReason)
+}
+
 // refusePaused returns the refusal of a request of which nothing was sent, if too many of its shards, or the leaves of its service,
 // have asked for a pause that ends after an attempt would have to be sent. It returns nil if the request can be sent.
 func (r *Run) refusePaused(now time.Time) *Response {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -40,6 +40,8 @@
 	TryExtra(now time.Time, service model.ServiceName, hedge bool) Extra
 	// HedgeDelay returns how long an attempt may be unanswered before the request is sent to another leaf as well.
 	HedgeDelay() time.Duration
+	// HighLatency returns a latency that few attempts on the route exceed, and whether one is known.
+	HighLatency() (time.Duration, bool)
 }
 
 // Options are the settings of a run.
@@ -98,9 +100,11 @@
 	// partialAt is when a partial answer is given instead of waiting for the remaining parts. deadline is when the caller gets a
 	// response in any case, and refuseAt is when a request that was sent to no leaf is refused.
 	partialAt, deadline, refuseAt time.Time
-	answeredParts                 int
-	sent                          bool
-	anyMayHaveRun                 bool
+	// endBy is when the VM answers at the latest because it is shutting down, if that is before the deadline of the request.
+	endBy         time.Time
+	answeredParts int
+	sent          bool
+	anyMayHaveRun bool
 }
 
 // NewRun returns the run of a request on a route. service is the one that was picked from the split of the route; it is
@@ -113,6 +117,9 @@
 			r.deadline = d
 		}
 	}
+	if !req.EndBy.IsZero() && req.EndBy.Before(r.deadline) {
+		r.endBy, r.deadline = req.EndBy, req.EndBy
+	}
 	objective := route.Objective
 	if objective <= 0 {
 		objective = route.Timeout
@@ -142,7 +149,10 @@
 // available again.
 func (r *Run) Step(now time.Time) (sends []Send, response *Response, wake time.Time) {
 	if !r.sent {
-		if response = r.refusePaused(now); response != nil {
+		if response = r.refuseUnfinishable(now); response == nil {
+			response = r.refusePaused(now)
+		}
+		if response != nil {
 			return nil, response, now
 		}
 	}
@@ -172,6 +182,21 @@
 	return sends, nil, wake
 }
 
+// End makes the next Step return a response, since the VM is about to end.
+func (r *Run) End(now time.Time) {
+	r.endBy, r.deadline = now, earlier(r.deadline, now)
+	r.partialAt, r.refuseAt = earlier(r.partialAt, now), earlier(r.refuseAt, now)
+}
+
+// fitsShutdown reports whether an attempt that is started now is expected to end before the VM does.
+func (r *Run) fitsShutdown(now time.Time) bool {
+	if r.endBy.IsZero() {
+		return true
+	}
+	latency, known := r.env.HighLatency()
+	return known && !now.Add(latency).After(r.endBy)
+}
+
 // stepPart adds the attempts that one part needs now, and returns when the part has to be evaluated again.
 func (r *Run) stepPart(now time.Time, i int, sends []Send) ([]Send, time.Time) {
 	p := &r.parts[i]
@@ -185,7 +210,7 @@
 			return sends, r.deadline
 		}
 	}
-	if !r.route.Repeatable || p.budgetExhausted || pending.hedged || !r.allowsExtra(p) {
+	if !r.route.Repeatable || p.budgetExhausted || pending.hedged || !r.allowsExtra(p) || !r.fitsShutdown(now) {
 		return sends, r.deadline
 	}
 	due := pending.started.Add(r.env.HedgeDelay())
@@ -219,6 +244,10 @@
 	if r.deadline.Sub(now) < minTimeLeft {
 		return sends
 	}
+	if !r.fitsShutdown(now) {
+		p.failed = true
+		return sends
+	}
 	if now.Before(p.retryAt) {
 		return sends
 	}
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -27,6 +27,8 @@
 	Received time.Time
 	// Deadline is when the caller stops waiting. If it is zero, only the route's timeout applies.
 	Deadline time.Time
+	// EndBy is when this VM answers at the latest because it is shutting down. It is zero if the VM is not.
+	EndBy time.Time
 }
 
 // LeafRequest is a request to one leaf.
--- a/internal/httperr/httperr.go
+++ b/internal/httperr/httperr.go
@@ -32,7 +32,7 @@
 		return http.StatusRequestEntityTooLarge
 	case errs.KindOverload:
 		return http.StatusTooManyRequests
-	case errs.KindNotAccepted, errs.KindUnavailable, errs.KindNotLeader, errs.KindDiskFull:
+	case errs.KindNotAccepted, errs.KindUnavailable, errs.KindNotLeader, errs.KindDiskFull, errs.KindShutdown:
 		return http.StatusServiceUnavailable
 	case errs.KindUnknownOutcome, errs.KindDeadline:
 		return http.StatusGatewayTimeout
--- a/internal/httpserver/generation.go
+++ b/internal/httpserver/generation.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -15,43 +16,77 @@
 // generation serves the connections that were accepted under the same options. net/http reads its limits without a lock,
 // so other limits need another http.Server.
 type generation struct {
-	parent      *Server
-	options     Options
-	server      *http.Server
-	source      *connListener
-	connections atomic.Int64
-	// requests tracks which of them have a request.
-	requests connStates
+	parent  *Server
+	options Options
+	server  *http.Server
+	source  *connListener
+	conns   *connSet
 	// replaced is set once other options are in force. Responses then close their connections.
 	replaced atomic.Bool
 }
 
 func (s *Server) newGeneration(o Options) *generation {
-	g := &generation{parent: s, options: o, source: &connListener{conns: make(chan net.Conn), closed: make(chan struct{})}, requests: newConnStates()}
+	g := &generation{parent: s, options: o, source: &connListener{conns: make(chan net.Conn), closed: make(chan struct{})}, conns: newConnSet()}
 	g.server = &http.Server{
 		Handler: g, ReadHeaderTimeout: o.ReadHeaderTimeout, IdleTimeout: o.IdleTimeout, MaxHeaderBytes: o.MaxHeaderBytes,
-		ConnState: func(c net.Conn, state http.ConnState) {
-			g.requests.set(c, state)
-			if state == http.StateClosed {
-				g.connections.Add(-1)
-			}
-		},
+		ConnState:   func(c net.Conn, state http.ConnState) { g.conns.setState(c.(*conn), state) },
+		BaseContext: func(net.Listener) context.Context { return s.requests },
 	}
 	return g
 }
 
 // ServeHTTP implements http.Handler.
 func (g *generation) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if g.parent.draining.Load() || g.replaced.Load() {
-		// The response closes the connection, so that the next request goes to another VM or is subject to the new limits.
+	if g.replaced.Load() {
+		// The response closes the connection, so that the next request is subject to the new limits.
 		w.Header().Set("Connection", "close")
 	}
-	if g.options.BodyTimeout > 0 && r.ContentLength != 0 {
-		r.Body = newTimedBody(w, r.Body, g.options.BodyTimeout)
+	w = &responseWriter{ResponseWriter: w, server: g.parent}
+	bodyTimeout := g.options.BodyTimeout
+	if endBy := g.parent.endBy.Load(); endBy != nil {
+		ctx, cancel := context.WithDeadlineCause(r.Context(), *endBy, errShutdown)
+		defer cancel()
+		r = r.WithContext(ctx)
+		if left := max(time.Until(*endBy), 0); bodyTimeout == 0 || left < bodyTimeout {
+			bodyTimeout = left
+		}
+	}
+	if bodyTimeout > 0 && r.ContentLength != 0 {
+		r.Body = newTimedBody(w, r.Body, bodyTimeout)
 	}
 	g.parent.handler.ServeHTTP(w, r)
 }
 
+// responseWriter makes a response close its connection if the server is draining when the response begins, so that the next request
+// goes to another VM.
+type responseWriter struct {
+	http.ResponseWriter
+	server   *Server
+	hasBegun bool
+}
+
+func (w *responseWriter) begin() {
+	if !w.hasBegun && w.server.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.hasBegun = true
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *responseWriter) WriteHeader(status int) {
+	w.begin()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *responseWriter) Write(p []byte) (int, error) {
+	w.begin()
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap lets http.ResponseController find the connection.
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // timedBody is the body of a request that has to end before a deadline of its connection.
 type timedBody struct {
 	io.ReadCloser
@@ -83,12 +118,12 @@
 	}()
 }
 
-// serveConn serves a connection that is already counted, or closes it if the server has been closed since.
-func (g *generation) serveConn(c net.Conn) {
+// serveConn serves a connection that is already in the set, or closes it if the server has been closed since.
+func (g *generation) serveConn(c *conn) {
 	select {
 	case g.source.conns <- c:
 	case <-g.source.closed:
-		g.connections.Add(-1)
+		g.conns.setState(c, http.StateClosed)
 		_ = c.Close() // No request was read from it, so the caller may safely use another VM.
 	}
 }
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -36,6 +36,17 @@
 	backlogLimit = 200 * time.Millisecond
 )
 
+const (
+	// answerTime is how long before the end of a drain the requests that are still held are ended, so that their answers are sent
+	// before their connections are closed. A VM with a part of a core may hold hundreds.
+	answerTime = 400 * time.Millisecond
+	// answerShare limits answerTime to this part of a short drain.
+	answerShare = 0.2
+)
+
+// errShutdown is the cause with which the contexts of requests end shortly before the end of a drain.
+var errShutdown = errs.New(errs.KindShutdown, "send the request to another VM", "the process is shutting down")
+
 // acceptPause is the pause after a connection could not be accepted, for example because no file descriptor is free.
 const acceptPause = 50 * time.Millisecond
 
@@ -50,6 +61,11 @@
 	// connections that have arrived by then were accepted.
 	closeBy  atomic.Pointer[time.Time]
 	accepted chan struct{}
+	// requests is the parent of the contexts of all requests. endRequests ends it.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
+	// endBy is when the requests are ended, or nil while the server is not draining.
+	endBy atomic.Pointer[time.Time]
 
 	mu sync.Mutex
 	// current serves new connections; older serve those that were accepted under earlier options.
@@ -61,6 +77,7 @@
 // New returns a server that does not listen yet.
 func New(address string, handler http.Handler, logger log.Logger, o Options) *Server {
 	s := &Server{address: address, handler: handler, logger: logger, accepted: make(chan struct{})}
+	s.requests, s.endRequests = context.WithCancelCause(context.Background())
 	s.current = s.newGeneration(o)
 	return s
 }
@@ -93,9 +110,9 @@
 		case err == nil:
 			s.mu.Lock()
 			g := s.current
-			g.connections.Add(1) // closeUnused keeps a generation that has a connection.
+			x := g.conns.add(c) // closeUnused keeps a generation that has a connection.
 			s.mu.Unlock()
-			g.serveConn(c)
+			g.serveConn(x)
 			s.limitAccept()
 		case errors.Is(err, net.ErrClosed), s.closeBy.Load() != nil && errors.Is(err, os.ErrDeadlineExceeded):
 			return
@@ -126,11 +143,21 @@
 		"idle_timeout", o.IdleTimeout, "idle_timeout_before", previous.options.IdleTimeout, "max_header_bytes", o.MaxHeaderBytes, "max_header_bytes_before", previous.options.MaxHeaderBytes)
 }
 
+// connections returns the number of open connections.
+func (s *Server) connections() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range append([]*generation{s.current}, s.older...) {
+		n += g.conns.len()
+	}
+	return n
+}
+
 // closeUnused closes and removes the older generations that have no connection left.
 func (s *Server) closeUnused() {
 	used := s.older[:0]
 	for _, g := range s.older {
-		if g.connections.Load() > 0 {
+		if g.conns.len() > 0 {
 			used = append(used, g)
 		} else if err := g.server.Close(); err != nil {
 			_ = level.Warn(s.logger).Log("msg", "HTTP server with earlier limits could not be closed", "address", s.address, "err", err)
@@ -140,10 +167,21 @@
 	s.older = used
 }
 
-// Drain accepts new connections during the delay, because callers notice the drain late, and then waits for the requests
-// in flight. Responses close their connections from the start of the drain.
+// Drain accepts new connections during the delay, because callers notice the drain late, and then closes each connection as soon as
+// it has no request. Responses close their connections from the start of the drain. Shortly before the end of the context, the
+// contexts of all requests end with a cause of kind shutdown, so that their handlers answer while there is time. Those of requests
+// that begin during the drain have this time as their deadline.
 func (s *Server) Drain(ctx context.Context, delay time.Duration) error {
 	s.draining.Store(true)
+	if end, ok := ctx.Deadline(); ok {
+		left := time.Until(end)
+		endBy := end.Add(-min(answerTime, time.Duration(answerShare*float64(left))))
+		s.endBy.Store(&endBy)
+		defer time.AfterFunc(time.Until(endBy), func() {
+			_ = level.Warn(s.logger).Log("msg", "requests in progress are ended, since the drain is about to end", "address", s.address, "connections", s.connections())
+			s.endRequests(errShutdown)
+		}).Stop()
+	}
 	_ = level.Info(s.logger).Log("msg", "HTTP listener is draining", "address", s.address, "delay", delay)
 	t := time.NewTimer(delay)
 	defer t.Stop()
@@ -153,7 +191,7 @@
 	}
 	s.stopAccepting(ctx)
 	err := s.closeAll(func(g *generation) error {
-		g.waitForRequests(ctx)
+		g.conns.drain(ctx)
 		return g.server.Shutdown(ctx)
 	})
 	_ = level.Info(s.logger).Log("msg", "HTTP listener has drained", "address", s.address, "err", err)
@@ -190,6 +228,7 @@
 
 // Stop closes the listener and all connections.
 func (s *Server) Stop() error {
+	s.endRequests(errShutdown)
 	return s.closeAll(func(g *generation) error { return g.server.Close() })
 }
 
--- a/internal/kernel/interfaces.go
+++ b/internal/kernel/interfaces.go
@@ -308,7 +308,9 @@
 	RequestExtras(ctx context.Context, services []model.ServiceName) (granted []bool, err error)
 }
 
-// Forwarder answers requests that are routed by host and path.
+// Forwarder answers requests that are routed by host and path. While the VM is shutting down, the deadline of the context is when it
+// answers at the latest. A context that ends with a cause of kind shutdown makes it answer at once; one that ends otherwise means
+// that the caller has disconnected.
 type Forwarder interface {
 	Forward(ctx context.Context, req *forward.Request) *forward.Response
 }
--- a/internal/modules/forwarder/module.go
+++ b/internal/modules/forwarder/module.go
@@ -145,6 +145,9 @@
 	if refusal := forward.RefuseUnreachable(route, view.Leaves, m.unresponsiveZones(m.now())); refusal != nil {
 		return m.finish(req, nil, refusal)
 	}
+	if endBy, ok := ctx.Deadline(); ok {
+		req.EndBy = endBy
+	}
 	r := &runner{module: m, ctx: ctx, req: req, route: route, version: view.Routes.Version, wakes: make(chan struct{}, 1)}
 	var service model.ServiceName
 	if !route.IsScatterGather() {
--- a/internal/modules/forwarder/runner.go
+++ b/internal/modules/forwarder/runner.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/chestnuttiller/chestnuttiller/internal/errs"
 	"github.com/chestnuttiller/chestnuttiller/internal/forward"
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
@@ -113,6 +114,11 @@
 		case <-r.wakes:
 		case <-timer.C:
 		case <-r.ctx.Done():
+			if errs.KindOf(context.Cause(r.ctx)) == errs.KindShutdown {
+				r.ctx = context.Background() // The response is given now, and does not depend on the caller any more.
+				r.state.End(r.module.now())
+				continue
+			}
 			r.cancelPending(0)
 			return &forward.Response{Kind: forward.KindCallerGone, Reason: "the caller has disconnected"}
 		}
@@ -301,6 +307,14 @@
 	}()
 }
 
+// HighLatency implements forward.Env.
+func (r *runner) HighLatency() (time.Duration, bool) {
+	m := r.module
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tracker.HighLatency(r.route.Name)
+}
+
 // HedgeDelay implements forward.Env.
 func (r *runner) HedgeDelay() time.Duration {
 	m := r.module
--- a/internal/modules/frontend/frontend.go
+++ b/internal/modules/frontend/frontend.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -14,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/chestnuttiller/chestnuttiller/internal/callerapi"
+	"github.com/chestnuttiller/chestnuttiller/internal/httpserver"
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/settings"
 )
@@ -52,8 +52,7 @@
 	drainDelay  time.Duration
 	maxRequests int64
 
-	server   *http.Server
-	listener net.Listener
+	server   *httpserver.Server
 	draining atomic.Bool
 	inFlight atomic.Int64
 }
@@ -71,13 +70,10 @@
 	m.listen = ctx.Settings.String(section, "listen")
 	m.drainDelay = ctx.Settings.DrainDelay
 	m.maxRequests = int64(ctx.Settings.Int(section, "max_requests"))
-	m.server = &http.Server{
-		Handler:           m.routes(),
-		ReadTimeout:       ctx.Settings.Duration(section, "read_timeout"),
-		ReadHeaderTimeout: ctx.Settings.Duration(section, "read_timeout"),
-		IdleTimeout:       ctx.Settings.Duration(section, "idle_timeout"),
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	m.server = httpserver.New(m.listen, m.routes(), m.logger, httpserver.Options{
+		ReadHeaderTimeout: ctx.Settings.Duration(section, "read_timeout"), BodyTimeout: ctx.Settings.Duration(section, "read_timeout"),
+		IdleTimeout: ctx.Settings.Duration(section, "idle_timeout"), MaxHeaderBytes: maxHeaderBytes,
+	})
 	return nil
 }
 
@@ -110,41 +106,25 @@
 
 // Start implements kernel.Starter.
 func (m *Module) Start(context.Context) error {
-	l, err := net.Listen("tcp", m.listen)
-	if err != nil {
-		return err
-	}
-	m.listener = l
-	go func() {
-		if err := m.server.Serve(l); err != nil && err != http.ErrServerClosed {
-			_ = level.Error(m.logger).Log("msg", "HTTP server for callers stopped unexpectedly; no more requests of callers are served", "err", err)
-		}
-	}()
-	_ = level.Info(m.logger).Log("msg", "listening for requests of callers", "addr", l.Addr())
-	return nil
+	return m.server.Start()
 }
 
 // Addr returns the address on which callers are served.
-func (m *Module) Addr() string { return m.listener.Addr().String() }
+func (m *Module) Addr() string { return m.server.Addr() }
 
 // Drain implements kernel.Drainer. Readiness has failed by now. The module continues to serve until the load
-// balancer has noticed, and then answers the requests in flight. Keep-alive connections are closed with the answers
-// that they carry, because closing an idle one could cut off a request that is in transit.
+// balancer has noticed, and then answers the requests in flight.
 func (m *Module) Drain(ctx context.Context) error {
 	m.draining.Store(true)
 	_ = level.Info(m.logger).Log("msg", "drain started; requests of callers are still served during the delay", "delay", m.drainDelay)
-	select {
-	case <-time.After(m.drainDelay):
-	case <-ctx.Done():
-	}
-	err := m.server.Shutdown(ctx)
+	err := m.server.Drain(ctx, m.drainDelay)
 	_ = level.Info(m.logger).Log("msg", "drain ended; the server for callers is shut down", "in_flight", m.inFlight.Load(), "err", err)
 	return err
 }
 
 // Stop implements kernel.Stopper.
 func (m *Module) Stop(context.Context) error {
-	return m.server.Close()
+	return m.server.Stop()
 }
 
 // ready answers the readiness check of the load balancer.
--- a/internal/modules/frontend/frontend_test.go
+++ b/internal/modules/frontend/frontend_test.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/chestnuttiller/chestnuttiller/internal/callerapi"
+	"github.com/chestnuttiller/chestnuttiller/internal/httpserver"
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
 )
@@ -40,7 +41,7 @@
 		control: control, readiness: kernel.NewReadiness(), now: time.Now, logger: log.NewNopLogger(), scope: tally.NoopScope,
 		handler: h, listen: "127.0.0.1:0", drainDelay: drainDelay, maxRequests: 10,
 	}
-	m.server = &http.Server{Handler: m.routes()}
+	m.server = httpserver.New(m.listen, m.routes(), m.logger, httpserver.Options{})
 	require.NoError(t, m.Start(context.Background()))
 	t.Cleanup(func() { _ = m.Stop(context.Background()) })
 	return m, h
--- a/internal/modules/operator/module.go
+++ b/internal/modules/operator/module.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -17,6 +16,7 @@
 
 	"github.com/chestnuttiller/chestnuttiller/internal/errs"
 	"github.com/chestnuttiller/chestnuttiller/internal/httperr"
+	"github.com/chestnuttiller/chestnuttiller/internal/httpserver"
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
 	"github.com/chestnuttiller/chestnuttiller/internal/operatorapi"
@@ -67,8 +67,7 @@
 	stateSource kernel.StateSource
 
 	listen           string
-	server           *http.Server
-	listener         net.Listener
+	server           *httpserver.Server
 	requestsInFlight atomic.Int64
 }
 
@@ -93,36 +92,30 @@
 	if m.listen == "" {
 		return nil
 	}
-	l, err := net.Listen("tcp", m.listen)
-	if err != nil {
-		return errs.Wrap(err, errs.KindInvalid, "choose a free address for [operator] listen", "cannot listen for the operator API")
-	}
-	m.listener = l
-	m.server = &http.Server{
-		Handler: m.routes(), ReadTimeout: readTimeout, ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
-	go func() {
-		if err := m.server.Serve(l); err != nil && err != http.ErrServerClosed {
-			_ = level.Error(m.logger).Log("msg", "HTTP server for the operator API stopped unexpectedly; the operator API is no longer served", "err", err)
-		}
-	}()
-	_ = level.Info(m.logger).Log("msg", "listening for requests to the operator API", "addr", l.Addr())
-	return nil
+	m.server = httpserver.New(m.listen, m.routes(), m.logger, httpserver.Options{
+		ReadHeaderTimeout: readTimeout, BodyTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	})
+	return errs.Wrap(m.server.Start(), errs.KindInvalid, "choose a free address for [operator] listen", "cannot listen for the operator API")
 }
 
 // Addr returns the address of the API.
-func (m *Module) Addr() string { return m.listener.Addr().String() }
+func (m *Module) Addr() string { return m.server.Addr() }
 
-// Stop implements kernel.Stopper. The API is served until Stop runs, so that operators can watch a shutdown. Requests
-// in flight may complete.
-func (m *Module) Stop(ctx context.Context) error {
+// Drain implements kernel.Drainer. It runs after callers are drained, so that operators can watch that, and before the control
+// log, on which requests in flight may depend.
+func (m *Module) Drain(ctx context.Context) error {
 	if m.server == nil {
 		return nil
 	}
-	if err := m.server.Shutdown(ctx); err != nil {
-		return m.server.Close()
+	return m.server.Drain(ctx, 0)
+}
+
+// Stop implements kernel.Stopper.
+func (m *Module) Stop(context.Context) error {
+	if m.server == nil {
+		return nil
 	}
-	return nil
+	return m.server.Stop()
 }
 
 func (m *Module) routes() http.Handler {
