Refuse requests whose bodies arrive after a drain has ended the others

TestRequestsAreRefusedOnceTheVMEnds failed before (the request was sent, outcome merged) and passes now.

--- a/internal/modules/forwarder/module.go
+++ b/internal/modules/forwarder/module.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/chestnuttiller/chestnuttiller/internal/errs"
 	"github.com/chestnuttiller/chestnuttiller/internal/forward"
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
@@ -147,6 +148,8 @@
 	}
 	if endBy, ok := ctx.Deadline(); ok {
 		req.EndBy = endBy
+	} else if ctx.Err() != nil && errs.KindOf(context.Cause(ctx)) == errs.KindShutdown {
+		req.EndBy = m.now() // The body of the request has arrived after the other requests were ended.
 	}
 	r := &runner{module: m, ctx: ctx, req: req, route: route, version: view.Routes.Version, wakes: make(chan struct{}, 1)}
 	var service model.ServiceName
--- a/internal/modules/forwarder/module_test.go
+++ b/internal/modules/forwarder/module_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/chestnuttiller/chestnuttiller/internal/errs"
 	"github.com/chestnuttiller/chestnuttiller/internal/forward"
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
@@ -103,3 +105,14 @@
 		require.Equal(t, forward.KindMerged, m.forwardRequest(time.Second).Kind)
 	}
 }
+
+// Guards against a request that is passed on although the VM ends at once, and against one that is not answered then.
+func TestRequestsAreRefusedOnceTheVMEnds(t *testing.T) {
+	m, _ := newPartitionModule(t)
+	ctx, end := context.WithCancelCause(context.Background())
+	end(errs.New(errs.KindShutdown, "send the request to another VM", "the process is shutting down"))
+	now := time.Now()
+	r := m.Forward(ctx, &forward.Request{ID: "x", Host: "h", Path: "/", Received: now, Deadline: now.Add(time.Second)})
+	require.Equal(t, forward.KindRefused, r.Kind)
+	require.True(t, r.TryAnotherVM)
+}
