Publish the status of the control log before the end of a transfer is reported

Cause: the transfer had succeeded within 5 ms, as a trace of its messages shows, but the wait for it was ended before the new status was stored, and the reader of the status got the earlier one. Ruled out: a transfer that is lost or aborted.

--- a/internal/modules/controllog/events.go
+++ b/internal/modules/controllog/events.go
@@ -179,8 +179,8 @@
 		return
 	}
 	m.maybeSnapshot()
+	m.updateStatus() // Whoever waits for the end of a transfer reads the status next.
 	m.endLeaderRequests()
-	m.updateStatus()
 }
 
 func (m *Module) send(messages []consensus.Message) {
