--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -20,7 +20,8 @@
 	// hasRequest is set once a byte was read since the last response.
 	hasRequest bool
 	closed     bool
-	// idleSince is when the connection was accepted or the last response ended. isNew is set until the first request was read.
+	// idleSince is when the connection was accepted or the last response ended. isNew is set until the first
+	// response has ended.
 	idleSince time.Time
 	isNew     bool
 }
