--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -180,34 +180,6 @@
 // it is received are dropped.
 func (k *Kernel) Failed() <-chan error { return k.failures }
 
-// Drain makes the process not ready and lets modules finish their work in the reverse of the dependency order, so that
-// each is drained before the modules that it needs.
-func (k *Kernel) Drain(ctx context.Context) error {
-	k.ctx.Readiness.Set("drain", "the process is shutting down")
-	var combined error
-	for i := k.started - 1; i >= 0; i-- {
-		if d, ok := k.modules[i].module.(Drainer); ok {
-			combined = errors.CombineErrors(combined, errors.Wrapf(d.Drain(ctx), "module %s", k.modules[i].info.ID))
-		}
-	}
-	return combined
-}
-
-// Stop stops the modules in reverse order and then the control goroutine. It skips modules that Start has not reached.
-func (k *Kernel) Stop(ctx context.Context) error {
-	var combined error
-	for i := k.started - 1; i >= 0; i-- {
-		if s, ok := k.modules[i].module.(Stopper); ok {
-			combined = errors.CombineErrors(combined, errors.Wrapf(s.Stop(ctx), "module %s", k.modules[i].info.ID))
-		}
-	}
-	if k.cancel != nil {
-		k.cancel()
-		<-k.ctx.Control.stopped
-	}
-	return combined
-}
-
 func (k *Kernel) fatal(err error) {
 	select {
 	case k.failures <- err:
