Log what became of the connections of a listener that stops

The lines of a stop said only that a listener had drained and with which error. They could not tell an idle connection from an answered request or from one that was cut off, nor which phase took the time.

The line at the end of a drain now counts answered requests, connections closed without a request, connections closed while bytes of the caller were unread (which resets them), and requests left, with the duration of each phase. Each connection that a stop cuts off gets a warning with the state of its request and the time since it began, 20 lines for each stop.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -12,6 +13,22 @@
 // just chosen this VM.
 const firstRequestTime = time.Second
 
+// requestState says how far the request of a connection is.
+type requestState string
+
+const (
+	requestNone      requestState = "none"
+	requestReading   requestState = "reading"
+	requestHandling  requestState = "handling"
+	requestAnswering requestState = "answering"
+)
+
+// closeCounts counts the connections of a Server that were closed in a certain state.
+type closeCounts struct {
+	// unused had no request; unread had bytes of the caller that were not read.
+	unused, unread atomic.Int64
+}
+
 // conn is the connection of a caller. Either the bytes of a request reach net/http, or the connection is closed without them: a
 // request that is read from a connection while that is being closed could be handled and not be answered.
 type conn struct {
@@ -24,8 +41,15 @@
 	// response has ended.
 	idleSince time.Time
 	isNew     bool
+	// state belongs to the request that began at requestSince.
+	state        requestState
+	requestSince time.Time
+	counts       *closeCounts
 }
 
+// connKey is the key of the conn in the context of a request.
+type connKey struct{}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -38,9 +62,46 @@
 		return 0, net.ErrClosed
 	}
 	c.hasRequest = true
+	if c.state == requestNone {
+		c.state, c.requestSince = requestReading, time.Now()
+	}
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closeLocked()
+}
+
+func (c *conn) closeLocked() error {
+	if !c.closed && unreadBytes(c.Conn) > 0 {
+		c.counts.unread.Add(1)
+	}
+	c.closed = true
+	return c.Conn.Close()
+}
+
+func (c *conn) setRequestState(state requestState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == requestNone {
+		c.requestSince = time.Now()
+	}
+	c.state = state
+}
+
+// request returns the state of the request and how long ago it began.
+func (c *conn) request() (requestState, time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == requestNone {
+		return requestNone, 0
+	}
+	return c.state, time.Since(c.requestSince)
+}
+
 // CloseWrite lets net/http send the rest of a response before it closes the connection.
 func (c *conn) CloseWrite() error {
 	if t, ok := c.Conn.(*net.TCPConn); ok {
@@ -52,7 +113,7 @@
 func (c *conn) setIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.hasRequest, c.isNew, c.idleSince = false, false, now
+	c.hasRequest, c.isNew, c.idleSince, c.state = false, false, now, requestNone
 }
 
 // closeIfUnused closes the connection if nothing of a request was read and the first one is not expected any more. Otherwise it
@@ -60,14 +121,17 @@
 func (c *conn) closeIfUnused(now time.Time) (closed bool, wait time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closed {
+		return true, 0 // net/http has not reported it yet.
+	}
 	if c.hasRequest {
 		return false, 0
 	}
 	if wait := firstRequestTime - now.Sub(c.idleSince); c.isNew && wait > 0 {
 		return false, wait
 	}
-	c.closed = true
-	_ = c.Conn.Close() // The caller may safely use another VM, since no request was read.
+	c.counts.unused.Add(1)
+	_ = c.closeLocked() // The caller may safely use another VM, since no request was read.
 	return true, 0
 }
 
@@ -77,15 +141,16 @@
 	conns map[*conn]bool
 	// changed gets a value after a connection has become idle or was closed.
 	changed chan struct{}
+	counts  *closeCounts
 }
 
-func newConnSet() *connSet {
-	return &connSet{conns: map[*conn]bool{}, changed: make(chan struct{}, 1)}
+func newConnSet(counts *closeCounts) *connSet {
+	return &connSet{conns: map[*conn]bool{}, changed: make(chan struct{}, 1), counts: counts}
 }
 
 // add adds an accepted connection.
 func (s *connSet) add(c net.Conn) *conn {
-	x := &conn{Conn: c, isNew: true, idleSince: time.Now()}
+	x := &conn{Conn: c, isNew: true, idleSince: time.Now(), state: requestNone, counts: s.counts}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[x] = true
@@ -116,6 +181,18 @@
 	return len(s.conns)
 }
 
+// withRequest returns the connections that have a request.
+func (s *connSet) withRequest() (used []*conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if state, _ := c.request(); state != requestNone {
+			used = append(used, c)
+		}
+	}
+	return used
+}
+
 // closeUnused closes the connections without a request. It returns how many others there are, and when one of them has to be
 // checked again although it has not changed.
 func (s *connSet) closeUnused(now time.Time) (used int, check time.Duration) {
--- a/internal/httpserver/generation.go
+++ b/internal/httpserver/generation.go
@@ -26,10 +26,11 @@
 }
 
 func (s *Server) newGeneration(o Options) *generation {
-	g := &generation{parent: s, options: o, source: &connListener{conns: make(chan net.Conn), closed: make(chan struct{})}, conns: newConnSet()}
+	g := &generation{parent: s, options: o, source: &connListener{conns: make(chan net.Conn), closed: make(chan struct{})}, conns: newConnSet(&s.closes)}
 	g.server = &http.Server{
 		Handler: g, ReadHeaderTimeout: o.ReadHeaderTimeout, IdleTimeout: o.IdleTimeout, MaxHeaderBytes: o.MaxHeaderBytes,
 		ConnState:   func(c net.Conn, state http.ConnState) { g.conns.setState(c.(*conn), state) },
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		BaseContext: func(net.Listener) context.Context { return s.requests },
 	}
 	return g
@@ -41,7 +42,9 @@
 		// The response closes the connection, so that the next request is subject to the new limits.
 		w.Header().Set("Connection", "close")
 	}
-	w = &responseWriter{ResponseWriter: w, server: g.parent}
+	c := r.Context().Value(connKey{}).(*conn)
+	c.setRequestState(requestHandling)
+	w = &responseWriter{ResponseWriter: w, server: g.parent, conn: c}
 	bodyTimeout := g.options.BodyTimeout
 	if endBy := g.parent.endBy.Load(); endBy != nil {
 		ctx, cancel := context.WithDeadlineCause(r.Context(), *endBy, errShutdown)
@@ -55,6 +58,7 @@
 		r.Body = newTimedBody(w, r.Body, bodyTimeout)
 	}
 	g.parent.handler.ServeHTTP(w, r)
+	g.parent.answered.Add(1)
 }
 
 // responseWriter makes a response close its connection if the server is draining when the response begins, so that the next request
@@ -62,14 +66,19 @@
 type responseWriter struct {
 	http.ResponseWriter
 	server   *Server
+	conn     *conn
 	hasBegun bool
 }
 
 func (w *responseWriter) begin() {
-	if !w.hasBegun && w.server.draining.Load() {
-		w.Header().Set("Connection", "close")
+	if w.hasBegun {
+		return
 	}
 	w.hasBegun = true
+	if w.server.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.conn.setRequestState(requestAnswering)
 }
 
 // WriteHeader implements http.ResponseWriter.
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -47,6 +47,9 @@
 // errShutdown is the cause with which the contexts of requests end shortly before the end of a drain.
 var errShutdown = errs.New(errs.KindShutdown, "send the request to another VM", "the process is shutting down")
 
+// maxCutLines is how many connections that are cut off with a request get a log line of their own.
+const maxCutLines = 20
+
 // acceptPause is the pause after a connection could not be accepted, for example because no file descriptor is free.
 const acceptPause = 50 * time.Millisecond
 
@@ -66,6 +69,9 @@
 	endRequests context.CancelCauseFunc
 	// endBy is when the requests are ended, or nil while the server is not draining.
 	endBy atomic.Pointer[time.Time]
+	// answered counts the requests whose handlers have returned.
+	answered atomic.Int64
+	closes   closeCounts
 
 	mu sync.Mutex
 	// current serves new connections; older serve those that were accepted under earlier options.
@@ -183,21 +189,53 @@
 		}).Stop()
 	}
 	_ = level.Info(s.logger).Log("msg", "HTTP listener is draining", "address", s.address, "delay", delay)
+	began, answered, unused, unread := time.Now(), s.answered.Load(), s.closes.unused.Load(), s.closes.unread.Load()
 	t := time.NewTimer(delay)
 	defer t.Stop()
 	select {
 	case <-t.C:
 	case <-ctx.Done():
 	}
+	delayed := time.Now()
 	s.stopAccepting(ctx)
+	closed := time.Now()
 	err := s.closeAll(func(g *generation) error {
 		g.conns.drain(ctx)
 		return g.server.Shutdown(ctx)
 	})
-	_ = level.Info(s.logger).Log("msg", "HTTP listener has drained", "address", s.address, "err", err)
+	_ = level.Info(s.logger).Log("msg", "HTTP listener has drained", "address", s.address, "answered", s.answered.Load()-answered,
+		"closed_unused", s.closes.unused.Load()-unused, "closed_with_unread_input", s.closes.unread.Load()-unread, "in_progress", len(s.withRequest()),
+		"delay_ms", delayed.Sub(began).Milliseconds(), "backlog_ms", closed.Sub(delayed).Milliseconds(),
+		"drain_ms", time.Since(closed).Milliseconds(), "err", err)
 	return err
 }
 
+// withRequest returns the connections of all generations that have a request.
+func (s *Server) withRequest() (used []*conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range append([]*generation{s.current}, s.older...) {
+		used = append(used, g.conns.withRequest()...)
+	}
+	return used
+}
+
+// logCut logs the connections that are about to be cut off with a request.
+func (s *Server) logCut() {
+	used := s.withRequest()
+	for i, c := range used {
+		leftOut := 0
+		if i == maxCutLines-1 {
+			leftOut = len(used) - maxCutLines
+		} else if i >= maxCutLines {
+			return
+		}
+		state, age := c.request()
+		_ = level.Warn(s.logger).Log("msg", "connection is cut off with a request in progress", "address", s.address, "caller", c.RemoteAddr(),
+			"state", state, "age_ms", age.Milliseconds(), "lines_left_out", leftOut)
+	}
+}
+
 // stopAccepting accepts the connections that have already arrived and returns once no other one does.
 func (s *Server) stopAccepting(ctx context.Context) {
 	if s.listener == nil {
@@ -228,6 +266,7 @@
 
 // Stop closes the listener and all connections.
 func (s *Server) Stop() error {
+	s.logCut()
 	s.endRequests(errShutdown)
 	return s.closeAll(func(g *generation) error { return g.server.Close() })
 }
--- /dev/null
+++ b/internal/httpserver/socket_other.go
@@ -0,0 +1,8 @@
+//go:build !linux
+
+package httpserver
+
+import "net"
+
+// unreadBytes returns 0, since the number is not known.
+func unreadBytes(net.Conn) int { return 0 }
