Log each request that ends without a complete answer

Operators could not tell from the log of a VM why a caller got no answer or half of one. A request whose context had ended was logged as "request answered", always with the reason that the caller had disconnected, and only if refusals of the same second had left one of 50 lines. An answer that could not be written left no line at all, since net/http drops errors that occur after the handler has returned.

Such requests now have lines of their own with a limit of their own: "request ended without an answer" with the cause of the context, and "answer not delivered" with the error of the connection, which is counted in forward_undelivered too. During a shutdown, ends_in_ms is the time until held requests are ended.

--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -140,6 +140,8 @@
 	TryAnotherVM bool
 	// Reason describes briefly why this response was given.
 	Reason string
+	// Undelivered records that the response could not be written to the caller in full. It is nil where nothing records this.
+	Undelivered func(error)
 }
 
 // Send is an attempt that the caller of Step has to start: the one with the number Attempt at the part with the number Part.
--- a/internal/modules/forwarder/decisions.go
+++ b/internal/modules/forwarder/decisions.go
@@ -50,20 +50,31 @@
 	m.metrics.latency.RecordDuration(elapsed)
 	failed := response.Kind != forward.KindLeaf && response.Kind != forward.KindMerged || response.Missing > 0 ||
 		response.Reply != nil && !response.Reply.Succeeded()
+	unanswered := response.Kind == forward.KindCallerGone
+	if !unanswered {
+		response.Undelivered = func(err error) { m.undelivered(req, response, err) }
+	}
 	m.mu.Lock()
-	ok, leftOut := m.answerLines.allow(now, failed)
+	lines, msg := &m.answerLines, "request answered"
+	if unanswered {
+		lines, msg = &m.unansweredLines, "request ended without an answer"
+	}
+	ok, leftOut := lines.allow(now, failed)
 	m.mu.Unlock()
 	if !ok {
 		return response
 	}
 	fields := []any{
-		"msg", "request answered", "request", req.ID, "outcome", response.Kind, "reason", response.Reason,
+		"msg", msg, "request", req.ID, "outcome", response.Kind, "reason", response.Reason,
 		"took_ms", elapsed.Milliseconds(), "time_left_ms", req.Deadline.Sub(now).Milliseconds(), "host", req.Host, "path", req.Path,
 	}
 	if r != nil {
 		answered, parts := r.state.Answered()
 		fields = append(fields, "route", r.route.Name, "version", r.version, "parts", parts, "answered", answered, "attempts", r.state.Attempts(), "tried", r.describe(failed))
 	}
+	if !req.EndBy.IsZero() {
+		fields = append(fields, "ends_in_ms", req.EndBy.Sub(now).Milliseconds())
+	}
 	if leftOut > 0 {
 		fields = append(fields, "lines_left_out", leftOut)
 	}
@@ -75,6 +86,29 @@
 	return response
 }
 
+// undelivered counts and logs a response that could not be written to the caller in full.
+func (m *Module) undelivered(req *forward.Request, response *forward.Response, err error) {
+	now := m.now()
+	m.metrics.undelivered.Inc(1)
+	m.mu.Lock()
+	ok, leftOut := m.unansweredLines.allow(now, true)
+	m.mu.Unlock()
+	if !ok {
+		return
+	}
+	fields := []any{
+		"msg", "answer not delivered", "request", req.ID, "outcome", response.Kind, "reason", response.Reason, "took_ms", now.Sub(req.Received).Milliseconds(),
+		"host", req.Host, "path", req.Path, "err", err,
+	}
+	if !req.EndBy.IsZero() {
+		fields = append(fields, "ends_in_ms", req.EndBy.Sub(now).Milliseconds())
+	}
+	if leftOut > 0 {
+		fields = append(fields, "lines_left_out", leftOut)
+	}
+	_ = level.Warn(m.logger).Log(fields...)
+}
+
 // describe lists the attempts at the parts without a reply if the request failed, and is empty otherwise.
 func (r *runner) describe(failed bool) string {
 	if !failed {
--- a/internal/modules/forwarder/module.go
+++ b/internal/modules/forwarder/module.go
@@ -81,8 +81,10 @@
 	// requests for a while.
 	answerLines   sampler
 	ejectionLines sampler
-	zones         zoneWatch
-	reporter      kernel.LeafReporter
+	// unansweredLines limits the log lines about requests that end without a complete answer. Refusals do not use it up.
+	unansweredLines sampler
+	zones           zoneWatch
+	reporter        kernel.LeafReporter
 	// reporting is true while a goroutine reports the evidence of this VM about leaves. It is guarded by mu.
 	reporting bool
 }
@@ -201,7 +203,7 @@
 type metrics struct {
 	scope                             tally.Scope
 	first, retries, hedges, cancelled tally.Counter
-	granted                           tally.Counter
+	granted, undelivered              tally.Counter
 	latency                           tally.Histogram
 	leaving, pauses                   tally.Counter
 	unresponsiveZones                 tally.Gauge
@@ -216,7 +218,7 @@
 	}
 	return metrics{
 		scope: s, first: attempts("first"), retries: attempts("retry"), hedges: attempts("hedge"),
-		cancelled: s.Counter("attempts_cancelled"), granted: s.Counter("extras_granted"), latency: s.Histogram("latency", latencyBuckets),
+		cancelled: s.Counter("attempts_cancelled"), granted: s.Counter("extras_granted"), undelivered: s.Counter("undelivered"), latency: s.Histogram("latency", latencyBuckets),
 		leaving: s.Counter("leaves_leaving"), pauses: s.Counter("leaf_pauses"),
 		unresponsiveZones: s.Gauge("silent_zones"),
 	}
--- a/internal/modules/forwarder/module_test.go
+++ b/internal/modules/forwarder/module_test.go
@@ -1,12 +1,15 @@
 package forwarder
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
 	"github.com/chestnuttiller/chestnuttiller/internal/errs"
@@ -116,3 +119,25 @@
 	require.Equal(t, forward.KindRefused, r.Kind)
 	require.True(t, r.TryAnotherVM)
 }
+
+// Guards against a request without an answer that is missing in the log because refusals have used up the lines of the second, and
+// against one whose line names the caller although something else has ended it.
+func TestUnansweredRequestsHaveTheirOwnLogLines(t *testing.T) {
+	m, x := newPartitionModule(t)
+	var lines bytes.Buffer
+	m.logger = log.NewLogfmtLogger(log.NewSyncWriter(&lines))
+	now := time.Now()
+	m.now = func() time.Time { return now }
+	for range 2 * failureLines {
+		m.Forward(context.Background(), &forward.Request{ID: "refused", Host: "other", Path: "/", Received: now, Deadline: now.Add(time.Second)})
+	}
+	x.partitioned.Store(true) // The attempts stay unanswered.
+	for id, cause := range map[string]error{"gone": nil, "ended": errors.New("the connection was taken over")} {
+		ctx, end := context.WithCancelCause(context.Background())
+		end(cause)
+		r := m.Forward(ctx, &forward.Request{ID: id, Host: "h", Path: "/", Received: now, Deadline: now.Add(time.Second)})
+		require.Equal(t, forward.KindCallerGone, r.Kind)
+	}
+	require.Contains(t, lines.String(), `msg="request ended without an answer" request=gone outcome=caller_gone reason="the caller has disconnected"`)
+	require.Contains(t, lines.String(), `msg="request ended without an answer" request=ended outcome=caller_gone reason="the request was ended: the connection was taken over"`)
+}
--- a/internal/modules/forwarder/runner.go
+++ b/internal/modules/forwarder/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -120,11 +121,20 @@
 				continue
 			}
 			r.cancelPending(0)
-			return &forward.Response{Kind: forward.KindCallerGone, Reason: "the caller has disconnected"}
+			return &forward.Response{Kind: forward.KindCallerGone, Reason: goneReason(r.ctx)}
 		}
 	}
 }
 
+// goneReason returns why the context of a request has ended without a shutdown. The server cancels it without a cause once the
+// connection of the caller fails or ends.
+func goneReason(ctx context.Context) string {
+	if cause := context.Cause(ctx); !errors.Is(cause, context.Canceled) {
+		return "the request was ended: " + cause.Error()
+	}
+	return "the caller has disconnected"
+}
+
 func (r *runner) record(x attemptResult) {
 	x.attempt.ended = true
 	r.state.AttemptEnded(x.attempt.part, x.attempt.index, x.result)
