Retry the rename of a log segment that a full disk refuses

The process of a control VM ended when the disk was full at the moment when the log went on to its next segment and the file system refused the rename, which needs a directory block. Writes and the creation of segments were retried, the rename was not.

The rename is retried like they are. Nothing depends on the name before it: the header of the segment is synced and no record follows it. A sync that fails, of a file or of the folder, ends the process as before.

TestFullDiskRefusesOneOperation refuses the creation, the writes and the rename of a segment in turn, with ENOSPC and EDQUOT. Before the change Append returned "the control log in wal cannot be read or written: no space left on device" for the rename; the other operations passed. The file system for tests can refuse single operations for this.

--- a/internal/fsys/fsystest/memory.go
+++ b/internal/fsys/fsystest/memory.go
@@ -1,5 +1,5 @@
 // Package fsystest provides a file system in memory for tests. It can simulate a crash, which loses unsynced data and
-// names; it can fail syncs; and it has a limited capacity.
+// names; it can fail syncs; it has a limited capacity; and it can refuse single operations as a full disk does.
 package fsystest
 
 import (
@@ -28,6 +28,30 @@
 	refuseWrites bool
 	syncErr      error
 	syncs        int
+	// refused holds the error of each operation that fails.
+	refused map[Operation]error
+}
+
+// Operation is an operation that Refuse makes fail.
+type Operation string
+
+// The operations that a full disk may refuse on their own.
+const (
+	OpCreate     Operation = "create"
+	OpWrite      Operation = "write"
+	OpRename     Operation = "rename"
+	OpRemove     Operation = "remove"
+	OpSyncFolder Operation = "sync of a folder"
+)
+
+// Refuse makes an operation fail with err; nil makes it succeed again.
+func (m *Memory) Refuse(op Operation, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.refused == nil {
+		m.refused = map[Operation]error{}
+	}
+	m.refused[op] = err
 }
 
 // fileData is the data of a file: as the process sees it, and as of the last sync.
@@ -119,6 +143,9 @@
 func (m *Memory) Create(path string) (fsys.File, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if err := m.refused[OpCreate]; err != nil {
+		return nil, err
+	}
 	f := &fileData{}
 	m.files[path] = f
 	return &file{m, f}, nil
@@ -139,6 +166,9 @@
 func (m *Memory) Rename(from, to string) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if err := m.refused[OpRename]; err != nil {
+		return err
+	}
 	f, ok := m.files[from]
 	if !ok {
 		return &os.PathError{Op: "rename", Path: from, Err: syscall.ENOENT}
@@ -152,6 +182,9 @@
 func (m *Memory) Remove(path string) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if err := m.refused[OpRemove]; err != nil {
+		return err
+	}
 	if _, ok := m.files[path]; !ok {
 		return &os.PathError{Op: "remove", Path: path, Err: syscall.ENOENT}
 	}
@@ -177,6 +210,9 @@
 func (m *Memory) SyncFolder(path string) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if err := m.refused[OpSyncFolder]; err != nil {
+		return err
+	}
 	inFolder := func(name string, _ *fileData) bool { return filepath.Dir(name) == filepath.Clean(path) }
 	maps.DeleteFunc(m.durableFiles, inFolder)
 	for name, f := range m.files {
@@ -209,6 +245,9 @@
 	f.fs.mu.Lock()
 	defer f.fs.mu.Unlock()
 	grow := int(at) + len(p) - len(f.data.current)
+	if err := f.fs.refused[OpWrite]; err != nil {
+		return 0, err
+	}
 	if f.fs.refuseWrites {
 		return 0, syscall.ENOSPC
 	}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -192,7 +192,8 @@
 		return err
 	}
 	l.group = l.seq
-	if err := l.fs.Rename(l.path(spareName), l.path(segmentName(number))); err != nil {
+	rename := func() error { return l.fs.Rename(l.path(spareName), l.path(segmentName(number))) }
+	if err := l.retryWhileFull(rename); err != nil {
 		return err
 	}
 	l.hasSpare = false
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -257,3 +257,34 @@
 		})
 	}
 }
+
+// Guards against a process that ends because a full disk refuses to create or rename the next segment, and against a log that
+// loses records once it has space again.
+func TestFullDiskRefusesOneOperation(t *testing.T) {
+	for _, op := range []fsystest.Operation{fsystest.OpCreate, fsystest.OpWrite, fsystest.OpRename} {
+		for _, full := range []error{syscall.ENOSPC, syscall.EDQUOT} {
+			fs := fsystest.NewMemory()
+			l, _ := open(t, fs)
+			waits := 0
+			l.SetWaitForSpace(func(err error) bool {
+				require.ErrorIs(t, err, full)
+				if waits++; waits%3 == 0 {
+					fs.Refuse(op, nil)
+				}
+				return true
+			})
+			var want []Record
+			for i := range 40 {
+				if i%10 == 0 {
+					fs.Refuse(op, full)
+				}
+				want = append(want, entry(i))
+				require.NoError(t, l.Append(want[i:]), "%s: %v", op, full)
+				require.NoError(t, l.Sync())
+			}
+			require.Positive(t, waits, "%s was not refused", op)
+			_, rec := open(t, fs.Crash(rand.New(rand.NewPCG(1, 1))))
+			require.Equal(t, want, entries(rec))
+		}
+	}
+}
