--- a/internal/fsys/fsys.go
+++ b/internal/fsys/fsys.go
@@ -127,11 +127,12 @@
 // leaves either the old file or the new one.
 func WriteDurably(fs FS, path string, data []byte) error {
 	temporary := path + TemporarySuffix
-	if err := writeSynced(fs, temporary, data); err != nil {
-		_ = fs.Remove(temporary) // This frees space on a full disk; a later write replaces a file that is left over.
-		return err
+	err := writeSynced(fs, temporary, data)
+	if err == nil {
+		err = fs.Rename(temporary, path)
 	}
-	if err := fs.Rename(temporary, path); err != nil {
+	if err != nil {
+		_ = fs.Remove(temporary) // This frees space on a full disk; a later write replaces a file that is left over.
 		return err
 	}
 	return fs.SyncFolder(filepath.Dir(path))
--- a/internal/snap/snap.go
+++ b/internal/snap/snap.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"hash/crc32"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -70,16 +71,24 @@
 	return errs.Wrap(err, wal.KindOf(err), "replace the disk or free space, then start the process again", "the snapshots in %s cannot be read or written", s.folder)
 }
 
-// Save writes the snapshot of a log index durably and removes all but the newest ones. After an error of kind
-// disk_full the earlier snapshots are as before and Save may be called again; any other error is final.
+// Save writes the snapshot of a log index durably and removes all but the newest ones. A removal that a full disk refuses is
+// left to the next Save. After an error of kind disk_full the earlier snapshots are as before and Save may be called again; any
+// other error is final.
 func (s *Store) Save(index uint64, data []byte) error {
 	if err := fsys.WriteDurably(s.fs, s.path(index), encode(data)); err != nil {
+		if !slices.Contains(s.indexes, index) {
+			// The file is complete but its name is not durable. Save may not be called with the same index again.
+			_ = s.fs.Remove(s.path(index))
+		}
 		return s.fail(err)
 	}
 	if k := len(s.indexes); k == 0 || s.indexes[k-1] < index {
 		s.indexes = append(s.indexes, index)
 	}
-	return s.prune()
+	if err := s.prune(); errs.KindOf(err) != errs.KindDiskFull {
+		return err
+	}
+	return nil
 }
 
 func (s *Store) prune() error {
