Don't count a voter with a full disk as unresponsive

A control VM whose disk refused all writes for longer than replace_after was removed from the voters if the leader changed meanwhile, which a full disk of the leader itself causes. The answers to heartbeats wait until the term is stored, so the VM was silent for its new leader. So was the target of a transfer whose disk refused its own vote, for the old leader.

A replica with a full disk now answers heartbeats at once while its term is not stored. This answer has the leader's term and confirms no read, since the replica may forget its term in a crash; it only says that the replica runs, and that its disk is full. The answer that confirms still waits for the disk.

--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -336,3 +336,42 @@
 	r.node.Persisted(rd.Write.ID)
 	require.Equal(t, uint64(2), r.node.Ready().Messages[0].Index)
 }
+
+// Guards against a voter that is replaced because its full disk keeps it from answering a new leader, or the old one after a
+// transfer to it that its disk does not let it finish. Some disks refuse even the few bytes of the new term.
+func TestFullDiskIsNotUnresponsive(t *testing.T) {
+	for _, isTarget := range []bool{false, true} {
+		s := healthy(t, 3)
+		s.maxVoters = 3
+		for _, r := range s.replicas {
+			r.node.cfg.MaxVoters, r.node.cfg.ReplaceAfterTicks = 3, 40
+		}
+		spare := s.newReplica("vm-9")
+		s.start(spare)
+		spare.node.cfg.ReplaceAfterTicks = 40
+		s.until("the spare VM is a learner", func() bool { return s.leader() != nil && len(s.leader().node.members()) == 4 })
+		s.until("all are idle", s.converged)
+		old := s.leader()
+		full := old
+		if isTarget {
+			require.NoError(t, old.node.TransferLeadership())
+			full = s.byID(old.node.transferTarget)
+			s.stalled = full
+			s.flush(old)
+			s.until("the target is a candidate", func() bool { return full.node.role == Candidate })
+		}
+		s.stalled = full
+		full.node.SetDiskFull(true)
+		for range 200 {
+			s.round()
+			l := s.leader()
+			require.True(t, l == nil || l.node.isVoter(full.id), "a full disk counts as unresponsive, transfer target %v", isTarget)
+		}
+		require.NotEqual(t, full, s.leader())
+		require.True(t, s.propose(s.leader()))
+		s.stalled = nil
+		full.node.SetDiskFull(false)
+		s.until("the replica catches up", s.converged)
+		require.True(t, s.leader().node.isVoter(full.id))
+	}
+}
--- a/internal/consensus/step.go
+++ b/internal/consensus/step.go
@@ -50,6 +50,9 @@
 func (n *Node) answerOldTerm(m Message) {
 	switch m.Kind {
 	case MsgAppend, MsgHeartbeat, MsgSnapshotChunk:
+		if m.Kind == MsgHeartbeat {
+			n.sendContact(m)
+		}
 		n.sendAfterSync(Message{Kind: MsgHeartbeatResp, To: m.From})
 	case MsgPreVote:
 		n.send(Message{Kind: MsgPreVoteResp, To: m.From, Reject: true})
