Let a voter that was replaced while it was silent join again

A control VM that was silent for replace_after and was replaced stayed out of the group for good once it ran again: in its own log it was still a voter, its requests for pre-votes were ignored by members that have a leader, nobody sends a removed replica anything, and only a replica that knows that it is no voter asked to join. Each such case left one learner less for the next voter that is silent or loses its disk.

A voter that has known no leader for four election timeouts now asks the control VMs to add it, as a learner without a leader does. The leader changes nothing if it is a member. A removed one becomes a learner under its replica ID, which is safe since it has kept its votes and entries.

--- a/internal/modules/controllog/bootstrap.go
+++ b/internal/modules/controllog/bootstrap.go
@@ -237,11 +237,13 @@
 	if m.runCtx.Err() != nil || m.storingGroup {
 		return
 	}
+	if ev.err != nil && m.node != nil {
+		m.logWaiting("no leader of the control group is known; asking to be added again in case this replica was removed", ev.err)
+		return
+	}
 	if ev.err != nil {
 		m.logWaiting("waiting to be added to the control group", ev.err)
-		if m.node == nil {
-			m.contactAfterRetry()
-		}
+		m.contactAfterRetry()
 		return
 	}
 	if m.node != nil {
--- a/internal/modules/controllog/events.go
+++ b/internal/modules/controllog/events.go
@@ -97,17 +97,27 @@
 	}
 	m.node.Tick(now)
 	m.flushLater()
+	if m.node.Status().Leader == "" {
+		m.ticksWithoutLeader++
+	} else {
+		m.ticksWithoutLeader = 0
+	}
 	if m.needsRejoin() && !m.contacting {
 		m.contacting = true
 		m.control.After(m.options.retry, contactEvent{})
 	}
 }
 
-// needsRejoin reports whether the replica is not a voter and has no leader. The change that added it may have been
-// rolled back, so it has to send its join request again.
+// rejoinTimeouts is the time without a leader after which a voter asks to join again, in minimum election timeouts. An election
+// usually ends before it.
+const rejoinTimeouts = 4
+
+// needsRejoin reports whether the replica has no leader and may not be a member. The change that added a learner may have been
+// rolled back; a voter may have been replaced, which nobody tells it, and the members ignore its elections. The leader
+// changes nothing for a replica that is a member.
 func (m *Module) needsRejoin() bool {
 	s := m.node.Status()
-	return s.Leader == "" && !isVoter(s)
+	return s.Leader == "" && (!isVoter(s) || m.ticksWithoutLeader >= rejoinTimeouts*m.options.electionTicks)
 }
 
 // isVoter reports whether the replica of a status is a voter. It is false for a replica that is not in the member list.
--- a/internal/modules/controllog/module.go
+++ b/internal/modules/controllog/module.go
@@ -67,6 +67,8 @@
 	storingGroup bool
 	isDiskFull   bool
 	contacting   bool
+	// ticksWithoutLeader counts the ticks since the replica last knew a leader.
+	ticksWithoutLeader int
 	// loggedWaitReason is the last logged reason why the VM has not joined a group yet.
 	loggedWaitReason string
 	// senderVMs is the VM from which each replica sent its last message. It is used for replicas that are not members.
