--- a/internal/modules/controllog/disk.go
+++ b/internal/modules/controllog/disk.go
@@ -211,11 +211,7 @@
 // saveLocalSnapshot stores a snapshot of the local state machine and removes the log segments that no kept snapshot
 // needs.
 func (d *disk) saveLocalSnapshot(s *consensus.Snapshot) error {
-	data := logcodec.EncodeSnapshot(s)
-	err := d.storage.snaps.Save(s.Index, data)
-	if errs.KindOf(err) == errs.KindDiskFull && d.freeSpace() {
-		err = d.storage.snaps.Save(s.Index, data)
-	}
+	err := d.saveSnapshot(s.Index, logcodec.EncodeSnapshot(s))
 	if errs.KindOf(err) == errs.KindDiskFull {
 		d.post(snapshotEvent{snapshot: s})
 		return nil
@@ -227,6 +223,15 @@
 	return d.prune(d.storage.snaps.Oldest())
 }
 
+// saveSnapshot stores a snapshot. On a full disk it first frees what an earlier snapshot replaces.
+func (d *disk) saveSnapshot(index uint64, data []byte) error {
+	err := d.storage.snaps.Save(index, data)
+	if errs.KindOf(err) == errs.KindDiskFull && d.freeSpace() {
+		err = d.storage.snaps.Save(index, data)
+	}
+	return err
+}
+
 // diskFullRetryInterval is the pause before a write that a full disk refused is retried.
 const diskFullRetryInterval = 200 * time.Millisecond
 
@@ -249,8 +254,9 @@
 // saveReceivedSnapshot stores a received snapshot and waits while the disk is full, since the log cannot continue
 // without the snapshot.
 func (d *disk) saveReceivedSnapshot(s *consensus.Snapshot) error {
+	data := logcodec.EncodeSnapshot(s)
 	for {
-		err := d.storage.snaps.Save(s.Index, logcodec.EncodeSnapshot(s))
+		err := d.saveSnapshot(s.Index, data)
 		if errs.KindOf(err) != errs.KindDiskFull || !d.waitForSpace(err) {
 			return err
 		}
--- a/internal/modules/controllog/disks_test.go
+++ b/internal/modules/controllog/disks_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/chestnuttiller/chestnuttiller/internal/consensus"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
 )
 
@@ -40,3 +42,30 @@
 		require.Equal(t, roleLearner, g.log(silent).Status().Role)
 	}
 }
+
+// Guards against a replica that waits for good with a received snapshot because its own log takes the space.
+func TestReceivedSnapshotFreesSpace(t *testing.T) {
+	d, fs, events, failures := testDisk(t)
+	const entries = 200 // More than three segments.
+	for id := consensus.WriteID(1); id <= entries; id++ {
+		d.enqueue(write(id))
+		require.Equal(t, persistedEvent{id}, <-events)
+	}
+	d.enqueue(snapshotTask{&consensus.Snapshot{Index: entries / 2, Term: 1}})
+	require.True(t, (<-events).(snapshotEvent).saved)
+	d.enqueue(write(entries + 1))
+	require.Equal(t, persistedEvent{entries + 1}, <-events)
+	fs.SetCapacity(fs.Used())
+	d.enqueue(&consensus.Write{ID: entries + 2, Snapshot: &consensus.Snapshot{Index: 2 * entries, Term: 1, Data: make([]byte, testSegmentBytes/2)}})
+	for {
+		select {
+		case ev := <-events:
+			if ev == (persistedEvent{entries + 2}) {
+				require.Empty(t, failures)
+				return
+			}
+		case <-time.After(waitLimit):
+			t.Fatal("the received snapshot is not stored")
+		}
+	}
+}
