End a process within its limit whatever a module does

A VM gets SIGKILL 6 s after SIGTERM. The kernel drained and stopped its modules on the main goroutine without a bound: a module, the control goroutine or the log that did not return kept the process until it was killed, and modules that came later were neither drained nor stopped. A drain that used the whole limit left the stop none.

Each drain and stop runs on a goroutine of its own and is left behind, named in the log and in the error, if it does not return. The drain leaves a tenth of the time, 0.2 s at most, to the stop; each step of the stop has half of what is left, so each module and the log get their turn before the limit. A module that was left behind is no worse than after a crash: what is acknowledged is synced before.

TestShutdownEndsWithinItsLimitBesideABlockedModule (a blocked drain, stop, control goroutine and log) and TestDrainReachesEachModuleAndLeavesTimeForTheStop failed before: the four shutdowns had not ended after ten times the limit, and the drain used up the limit of the stop.

--- a/internal/kernel/shutdown.go
+++ b/internal/kernel/shutdown.go
@@ -2,55 +2,160 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+
+	"github.com/chestnuttiller/chestnuttiller/internal/errs"
+)
+
+const (
+	// slowStep is the least duration of a module's drain or stop that is logged without an error.
+	slowStep = 5 * time.Millisecond
+	// stopTime is the part of a shutdown that the drain leaves to the stop. It is shorter than the time in which callers are
+	// answered at the end of a drain, and at most stopShare of the shutdown.
+	stopTime  = 200 * time.Millisecond
+	stopShare = 0.1
+	// returnShare is the part of the time for the stop that modules have to return once the context of their drain has ended.
+	returnShare = 0.5
+	// minReturnTime is the time that a module has to return from its drain if the time for all drains has passed before.
+	minReturnTime = 5 * time.Millisecond
+	// minStopTime is the time for the stop of all modules if the limit has passed before it begins.
+	minStopTime = 50 * time.Millisecond
 )
 
-// slowStep is the least duration of a module's drain or stop that is logged without an error.
-const slowStep = 5 * time.Millisecond
+// shutdownStage is the drain or the stop of all modules.
+type shutdownStage struct {
+	logger  log.Logger
+	now     func() time.Time
+	started time.Time
+	// limit is the end of the whole shutdown, if it is limited.
+	limit   time.Time
+	limited bool
+	// abandoned names the modules that were left behind. err combines the errors of all modules.
+	abandoned []string
+	err       error
+}
+
+func (k *Kernel) newStage(ctx context.Context) *shutdownStage {
+	s := &shutdownStage{logger: k.ctx.Logger("kernel"), now: k.ctx.Now, started: k.ctx.Now()}
+	s.limit, s.limited = ctx.Deadline()
+	return s
+}
+
+// run drains or stops one module, and logs it if it was slow or failed. At returnBy, unless that is zero, it leaves the
+// module behind.
+func (s *shutdownStage) run(ctx context.Context, returnBy time.Time, msg, module string, step func(context.Context) error) {
+	started := s.now()
+	var overdue <-chan time.Time
+	if !returnBy.IsZero() {
+		t := time.NewTimer(returnBy.Sub(started))
+		defer t.Stop()
+		overdue = t.C
+	}
+	done := make(chan error, 1)
+	go func() { done <- step(ctx) }()
+	var err error
+	select {
+	case err = <-done:
+	case <-overdue:
+		err = errs.New(errs.KindDeadline, "look for the module in the log, and raise [shutdown] drain_limit if it needs more time", "it did not end in time and was left behind")
+		s.abandoned = append(s.abandoned, module)
+	}
+	if took := s.now().Sub(started); took >= slowStep || err != nil {
+		s.log(msg, "module", module, "took_ms", took.Milliseconds(), "err", err)
+	}
+	s.err = errors.CombineErrors(s.err, errors.Wrapf(err, "module %s", module))
+}
+
+// log logs a line with the time left to the limit, in milliseconds, if there is one.
+func (s *shutdownStage) log(msg string, keyvals ...any) {
+	keyvals = append([]any{"msg", msg}, keyvals...)
+	if s.limited {
+		keyvals = append(keyvals, "left_ms", s.limit.Sub(s.now()).Milliseconds())
+	}
+	_ = level.Info(s.logger).Log(keyvals...)
+}
+
+// logEnd logs the end of the stage.
+func (s *shutdownStage) logEnd(msg string) {
+	keyvals := []any{"took_ms", s.now().Sub(s.started).Milliseconds(), "err", s.err}
+	if len(s.abandoned) > 0 {
+		keyvals = append(keyvals, "left_behind", strings.Join(s.abandoned, ", "))
+	}
+	s.log(msg, keyvals...)
+}
 
 // Drain makes the process not ready and lets modules finish their work in the reverse of the dependency order, so that
-// each is drained before the modules that it needs.
+// each is drained before the modules that it needs. It leaves a part of the time until the deadline of the context to Stop.
+// A module that does not return then is named in the error and left behind, and the modules after it are still told to
+// drain.
 func (k *Kernel) Drain(ctx context.Context) error {
 	k.ctx.Readiness.Set("drain", "the process is shutting down")
-	logger := k.ctx.Logger("kernel")
-	started := k.ctx.Now()
-	var combined error
+	stage := k.newStage(ctx)
+	var returnBy time.Time
+	if stage.limited {
+		reserve := min(stopTime, time.Duration(stopShare*float64(max(0, stage.limit.Sub(stage.started)))))
+		returnBy = stage.limit.Add(-time.Duration((1 - returnShare) * float64(reserve)))
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, stage.limit.Add(-reserve))
+		defer cancel()
+	}
 	for i := k.started - 1; i >= 0; i-- {
 		if d, ok := k.modules[i].module.(Drainer); ok {
-			combined = errors.CombineErrors(combined, k.runStep(ctx, logger, "module drained", string(k.modules[i].info.ID), d.Drain))
+			if earliest := k.ctx.Now().Add(minReturnTime); stage.limited && returnBy.Before(earliest) {
+				returnBy = earliest
+			}
+			stage.run(ctx, returnBy, "module drained", string(k.modules[i].info.ID), d.Drain)
 		}
 	}
-	k.logStage(ctx, logger, "modules drained", started, combined)
-	return combined
+	stage.logEnd("modules drained")
+	return stage.err
 }
 
 // Stop stops the modules in reverse order, then the control goroutine and at last the log, so that it takes the lines of
 // all others. It skips modules that Start has not reached.
+//
+// The context of each step ends after a quarter of the time that is left until the deadline of the context. A module that
+// does not return within half of that time is named in the error and left behind: the end of the process stops it. That is no
+// worse than a crash, since all that has been acknowledged was synced before. Without a deadline, Stop waits for all modules.
 func (k *Kernel) Stop(ctx context.Context) error {
-	logger := k.ctx.Logger("kernel")
-	started := k.ctx.Now()
-	var combined error
+	stage := k.newStage(ctx)
+	end := stage.limit
+	if earliest := stage.started.Add(minStopTime); end.Before(earliest) {
+		end = earliest
+	}
+	stop := func(module string, stop func(context.Context) error) {
+		if !stage.limited {
+			stage.run(ctx, time.Time{}, "module stopped", module, stop)
+			return
+		}
+		now := k.ctx.Now()
+		left := end.Sub(now)
+		stepCtx, cancel := context.WithDeadline(ctx, now.Add(left/4))
+		defer cancel()
+		stage.run(stepCtx, now.Add(left/2), "module stopped", module, stop)
+	}
 	for i := k.started - 1; i >= 0; i-- {
 		m := k.modules[i]
 		if s, ok := m.module.(Stopper); ok && !isLog(m) {
-			combined = errors.CombineErrors(combined, k.runStep(ctx, logger, "module stopped", string(m.info.ID), s.Stop))
+			stop(string(m.info.ID), s.Stop)
 		}
 	}
 	if k.cancel != nil {
 		k.cancel()
-		combined = errors.CombineErrors(combined, k.runStep(ctx, logger, "module stopped", "control goroutine", k.waitForControl))
+		stop("control goroutine", k.waitForControl)
 	}
-	k.logStage(ctx, logger, "modules stopped; the log is closed next and the process exits", started, combined)
+	stage.logEnd("modules stopped; the log is closed next and the process exits")
 	for _, m := range k.modules { // The log is written before Start reaches it.
 		if s, ok := m.module.(Stopper); ok && isLog(m) {
-			combined = errors.CombineErrors(combined, errors.Wrapf(s.Stop(ctx), "module %s", m.info.ID))
+			stop(string(m.info.ID), s.Stop)
 		}
 	}
-	return combined
+	return stage.err
 }
 
 func isLog(m runningModule) bool {
@@ -58,32 +163,11 @@
 	return ok
 }
 
-func (k *Kernel) waitForControl(context.Context) error {
-	<-k.ctx.Control.stopped
-	return nil
-}
-
-// runStep drains or stops one module, and logs it if it was slow or failed.
-func (k *Kernel) runStep(ctx context.Context, logger log.Logger, msg, module string, step func(context.Context) error) error {
-	started := k.ctx.Now()
-	err := step(ctx)
-	if took := k.ctx.Now().Sub(started); took >= slowStep || err != nil {
-		_ = level.Info(logger).Log(append([]any{"msg", msg, "module", module, "took_ms", took.Milliseconds(), "err", err}, timeLeft(ctx)...)...)
-	}
-	return errors.Wrapf(err, "module %s", module)
-}
-
-// logStage logs the end of the drain or the stop of all modules.
-func (k *Kernel) logStage(ctx context.Context, logger log.Logger, msg string, started time.Time, err error) {
-	_ = level.Info(logger).Log(append([]any{"msg", msg, "took_ms", k.ctx.Now().Sub(started).Milliseconds(), "err", err}, timeLeft(ctx)...)...)
-}
-
-// timeLeft returns the key and value of a log line for the time until the deadline of the context, in milliseconds. Without a
-// deadline it returns nothing.
-func timeLeft(ctx context.Context) []any {
-	end, ok := ctx.Deadline()
-	if !ok {
+func (k *Kernel) waitForControl(ctx context.Context) error {
+	select {
+	case <-k.ctx.Control.stopped:
 		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	return []any{"left_ms", time.Until(end).Milliseconds()}
 }
--- a/internal/kernel/shutdown_test.go
+++ b/internal/kernel/shutdown_test.go
@@ -58,6 +58,11 @@
 func startFakeKernel(t *testing.T, modules ...runningModule) *Kernel {
 	k := &Kernel{modules: modules, failures: make(chan error, 1), seedSource: newSeedSource(1)}
 	k.ctx = &Context{kernel: k, Control: newControl(time.Now), Readiness: NewReadiness(), Now: time.Now}
+	for _, m := range modules {
+		if c, ok := m.module.(Controller); ok {
+			k.ctx.Control.AddController(c)
+		}
+	}
 	require.NoError(t, k.Start(context.Background()))
 	return k
 }
@@ -84,3 +89,96 @@
 	require.NotContains(t, out.String(), "module=first took_ms=0")
 	require.NotContains(t, out.String(), "control goroutine")
 }
+
+type blockingController struct{ release chan struct{} }
+
+func (c blockingController) HandleEvent(time.Time, Event) { <-c.release }
+
+// Guards against a process that is killed at the end of its grace since a module, the control goroutine or the log does not
+// return from its drain or stop: the process ends by itself within the limit, all other modules are drained and stopped, and
+// the log names the one.
+func TestShutdownEndsWithinItsLimitBesideABlockedModule(t *testing.T) {
+	const limit = time.Second
+	release := make(chan struct{})
+	defer close(release)
+	block := func(context.Context) error {
+		<-release
+		return nil
+	}
+	for _, blocked := range []string{"drain", "stop", "control goroutine", "log"} {
+		t.Run(blocked, func(t *testing.T) {
+			out := &fakeLog{}
+			var steps []string
+			step := func(name string, blocks bool) func(context.Context) error {
+				return func(ctx context.Context) error {
+					if blocks {
+						return block(ctx)
+					}
+					steps = append(steps, name)
+					return nil
+				}
+			}
+			sink := Module(out)
+			if blocked == "log" {
+				sink = struct {
+					LogSink
+					Stopper
+				}{out, stopper(block)}
+			}
+			k := startFakeKernel(t, named("controller", blockingController{release}), named("log", sink), named("a", &fakeModule{step("drain a", false), step("stop a", false)}),
+				named("b", &fakeModule{step("drain b", blocked == "drain"), step("stop b", blocked == "stop")}))
+			if blocked == "control goroutine" {
+				require.True(t, k.ctx.Control.Post("event"))
+			}
+			ended := make(chan struct{})
+			started := time.Now()
+			go func() {
+				defer close(ended)
+				ctx, cancel := context.WithTimeout(context.Background(), limit)
+				defer cancel()
+				drainErr := k.Drain(ctx)
+				require.Equal(t, blocked == "drain", drainErr != nil)
+				require.Equal(t, blocked != "drain", k.Stop(ctx) != nil)
+			}()
+			select {
+			case <-ended:
+			case <-time.After(10 * limit):
+				t.Fatal("the shutdown does not end")
+			}
+			require.Less(t, time.Since(started), limit)
+			require.Subset(t, steps, []string{"drain a", "stop a"})
+			if blocked == "drain" || blocked == "stop" {
+				require.Regexp(t, `module=b took_ms=\d+ err="it did not end in time and was left behind.*" left_ms=\d+\n`, out.String())
+				require.Contains(t, out.String(), " left_behind=b left_ms=")
+			}
+			if blocked == "control goroutine" {
+				require.Contains(t, out.String(), `module="control goroutine"`)
+			}
+		})
+	}
+}
+
+type stopper func(context.Context) error
+
+func (s stopper) Stop(ctx context.Context) error { return s(ctx) }
+
+// Guards against a module that gets no chance to answer its callers and free its place in the group, since modules that were
+// drained before it have used the whole limit.
+func TestDrainReachesEachModuleAndLeavesTimeForTheStop(t *testing.T) {
+	const limit = 2 * time.Second
+	untilEnd := func(ctx context.Context) error {
+		<-ctx.Done()
+		return nil
+	}
+	drained := false
+	k := startFakeKernel(t, named("a", &fakeModule{func(context.Context) error {
+		drained = true
+		return nil
+	}, atOnce}), named("b", &fakeModule{untilEnd, atOnce}))
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	require.NoError(t, k.Drain(ctx))
+	require.True(t, drained)
+	require.NoError(t, ctx.Err(), "no time is left for the stop")
+	require.NoError(t, k.Stop(ctx))
+}
