Give an answer that is ready when the VM ends a request

A caller got 504 "the VM is shutting down", or 504 at its deadline, although the reply of the leaf had arrived: the runner chose at random between a result that was queued and the end of the context or the timer, and a request that was ended did not look at its results again.

The runner now takes all results before each step, whatever has woken it.

TestReadyAnswerIsGivenWhenTheVMEnds hands over the replies and ends the context before the runner can notice either.

--- a/internal/modules/forwarder/module_test.go
+++ b/internal/modules/forwarder/module_test.go
@@ -15,6 +15,7 @@
 	"github.com/chestnuttiller/chestnuttiller/internal/errs"
 	"github.com/chestnuttiller/chestnuttiller/internal/forward"
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
+	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
 	"github.com/chestnuttiller/chestnuttiller/internal/routes"
 	"github.com/chestnuttiller/chestnuttiller/internal/settings"
@@ -141,3 +142,28 @@
 	require.Contains(t, lines.String(), `msg="request ended without an answer" request=gone outcome=caller_gone reason="the caller has disconnected"`)
 	require.Contains(t, lines.String(), `msg="request ended without an answer" request=ended outcome=caller_gone reason="the request was ended: the connection was taken over"`)
 }
+
+// shutdownTransport ends the context of the request and hands over the reply of a leaf before the request can notice either.
+type shutdownTransport struct {
+	partitionTransport
+	end context.CancelCauseFunc
+}
+
+func (x *shutdownTransport) Send(l *leaves.Member, _ *forward.LeafRequest, done func(forward.AttemptResult)) func() {
+	x.end(errs.New(errs.KindShutdown, "send the request to another VM", "the process is shutting down"))
+	done(forward.AttemptResult{Reply: &forward.LeafReply{Status: 200, Signature: l.ID}, Sent: true, Latency: time.Millisecond})
+	return func() {}
+}
+
+// Guards against an answer that is ready and is dropped, since the VM ends the request at the same moment.
+func TestReadyAnswerIsGivenWhenTheVMEnds(t *testing.T) {
+	m, _ := newPartitionModule(t)
+	for range 50 {
+		ctx, end := context.WithCancelCause(context.Background())
+		m.transport = &shutdownTransport{end: end}
+		now := time.Now()
+		r := m.Forward(ctx, &forward.Request{ID: "x", Host: "h", Path: "/", Received: now, Deadline: now.Add(time.Second)})
+		require.Equal(t, forward.KindMerged, r.Kind, r.Reason)
+		require.Zero(t, r.Missing)
+	}
+}
--- a/internal/modules/forwarder/runner.go
+++ b/internal/modules/forwarder/runner.go
@@ -88,6 +88,10 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
+		// Whatever has woken the request, replies that have arrived count before the time does.
+		for _, x := range r.results.take() {
+			r.record(x)
+		}
 		now := r.module.now()
 		sends, response, wake := r.state.Step(now)
 		if response != nil {
@@ -109,9 +113,6 @@
 		timer.Reset(max(wake.Sub(r.module.now()), 0))
 		select {
 		case <-r.results.added:
-			for _, x := range r.results.take() {
-				r.record(x)
-			}
 		case <-r.wakes:
 		case <-timer.C:
 		case <-r.ctx.Done():
