Close connections without losing the answer that is being sent

Callers lost the rest of an answer, or all of it, when the server closed their connection while bytes that they had sent were unread: the next request sent before the answer was read, during a drain or after a change of limits; a large body that was refused; input behind a refused header; and a request that crossed the close of an idle connection whose last answer was still being sent. The kernel answers such a close with a reset and drops what is in the send buffer. net/http only avoids this if it has stopped reading the body itself, and then reads nothing for 0.5 s, so that a caller that sends a large body first is stuck and then reset.

conn.Close now closes the writing side only, if a request was read since the last answer or the caller's system has not acknowledged all of it (SIOCOUTQ). A goroutine reads and discards 4 KB at a time until the caller closes, until 1 s has passed since the last acknowledged progress, or for 10 s at most, and then closes the connection. Other connections are closed at once, as before. net/http's own wait runs beside it, because CloseWrite begins the same. A drain waits for these connections within its context, and Stop closes what is left.

The callers of TestRequestsThatAreHandledDuringADrainAreAnswered close their connections when they have the last answer, as callers do; without that each of its 20 drains waits 1 s for them. What it checks is unchanged.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,7 +46,9 @@
 	// state belongs to the request that began at requestSince.
 	state        requestState
 	requestSince time.Time
-	counts       *closeCounts
+	set          *connSet
+	// callerEnded is set once the caller has closed its side or the connection has failed.
+	callerEnded bool
 }
 
 // connKey is the key of the conn in the context of a request.
@@ -52,15 +56,21 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n == 0 {
-		return n, err
+	if c.isClosed() {
+		return 0, net.ErrClosed
 	}
+	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return 0, net.ErrClosed
 	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.callerEnded = true
+	}
+	if n == 0 {
+		return n, err
+	}
 	c.hasRequest = true
 	if c.state == requestNone {
 		c.state, c.requestSince = requestReading, time.Now()
@@ -68,7 +78,24 @@
 	return n, err
 }
 
-// Close implements net.Conn.
+func (c *conn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
+// SetReadDeadline implements net.Conn. Once the connection is being closed, its deadline belongs to linger.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Close implements net.Conn. It does not wait. If the caller may not have the whole answer, only the writing side is closed, and the
+// rest follows when the caller closes.
 func (c *conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -76,11 +103,23 @@
 }
 
 func (c *conn) closeLocked() error {
-	if !c.closed && unreadBytes(c.Conn) > 0 {
-		c.counts.unread.Add(1)
+	if c.closed {
+		return nil
 	}
 	c.closed = true
-	return c.Conn.Close()
+	t, ok := c.Conn.(*net.TCPConn)
+	// A connection that is idle has unread input only if it crosses the close, which harms answers that are still being sent.
+	mayLoseAnswer := !c.callerEnded && (c.hasRequest || unsentBytes(c.Conn) > 0)
+	if !ok || !mayLoseAnswer || !c.set.lingering.add(c) {
+		if unreadBytes(c.Conn) > 0 {
+			c.set.counts.unread.Add(1)
+		}
+		return c.Conn.Close()
+	}
+	err := t.CloseWrite()
+	_ = t.SetReadDeadline(time.Now()) // A read of net/http that is in progress ends. A broken connection ends by itself.
+	go c.linger()
+	return err
 }
 
 func (c *conn) setRequestState(state requestState) {
@@ -92,23 +131,19 @@
 	c.state = state
 }
 
-// request returns the state of the request and how long ago it began.
+// request returns the state of the request and how long ago it began. A connection that is being closed has none.
 func (c *conn) request() (requestState, time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == requestNone {
+	if c.closed || c.state == requestNone {
 		return requestNone, 0
 	}
 	return c.state, time.Since(c.requestSince)
 }
 
-// CloseWrite lets net/http send the rest of a response before it closes the connection.
-func (c *conn) CloseWrite() error {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
-		return t.CloseWrite()
-	}
-	return nil
-}
+// CloseWrite begins to close the connection while net/http, which calls it after some responses, waits for 0.5 s before it calls
+// Close.
+func (c *conn) CloseWrite() error { return c.Close() }
 
 func (c *conn) setIdle(now time.Time) {
 	c.mu.Lock()
@@ -130,7 +165,7 @@
 	if wait := firstRequestTime - now.Sub(c.idleSince); c.isNew && wait > 0 {
 		return false, wait
 	}
-	c.counts.unused.Add(1)
+	c.set.counts.unused.Add(1)
 	_ = c.closeLocked() // The caller may safely use another VM, since no request was read.
 	return true, 0
 }
@@ -142,15 +177,17 @@
 	// changed gets a value after a connection has become idle or was closed.
 	changed chan struct{}
 	counts  *closeCounts
+	// lingering holds connections that are being closed, also after net/http has forgotten them.
+	lingering *lingerSet
 }
 
 func newConnSet(counts *closeCounts) *connSet {
-	return &connSet{conns: map[*conn]bool{}, changed: make(chan struct{}, 1), counts: counts}
+	return &connSet{conns: map[*conn]bool{}, changed: make(chan struct{}, 1), counts: counts, lingering: newLingerSet()}
 }
 
 // add adds an accepted connection.
 func (s *connSet) add(c net.Conn) *conn {
-	x := &conn{Conn: c, isNew: true, idleSince: time.Now(), state: requestNone, counts: s.counts}
+	x := &conn{Conn: c, isNew: true, idleSince: time.Now(), state: requestNone, set: s}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[x] = true
@@ -175,10 +212,17 @@
 	}
 }
 
+// len returns the number of open connections.
 func (s *connSet) len() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.conns)
+	n := s.lingering.len()
+	for c := range s.conns {
+		if !c.isClosed() {
+			n++
+		}
+	}
+	return n
 }
 
 // withRequest returns the connections that have a request.
--- a/internal/httpserver/drain_test.go
+++ b/internal/httpserver/drain_test.go
@@ -94,6 +94,7 @@
 		for i := range 20 {
 			c := dial(t, s)
 			callers.Go(func() {
+				defer c.Close()
 				for n := 0; ; n++ {
 					path := fmt.Sprintf("/%d/%d", i, n)
 					// Writes fail once the server has closed the connection.
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -174,7 +174,8 @@
 }
 
 // Drain accepts new connections during the delay, because callers notice the drain late, and then closes each connection as soon as
-// it has no request. Responses close their connections from the start of the drain. Shortly before the end of the context, the
+// it has no request. Responses close their connections from the start of the drain, and the drain waits until the callers have
+// closed them or lingerTime has passed since the last progress of an answer. Shortly before the end of the context, the
 // contexts of all requests end with a cause of kind shutdown, so that their handlers answer while there is time. Those of requests
 // that begin during the drain have this time as their deadline.
 func (s *Server) Drain(ctx context.Context, delay time.Duration) error {
@@ -203,13 +204,29 @@
 		g.conns.drain(ctx)
 		return g.server.Shutdown(ctx)
 	})
+	drained := time.Now()
+	_ = s.closeAll(func(g *generation) error { // The listener is closed, so no error can occur.
+		g.conns.lingering.wait(ctx)
+		return nil
+	})
 	_ = level.Info(s.logger).Log("msg", "HTTP listener has drained", "address", s.address, "answered", s.answered.Load()-answered,
 		"closed_unused", s.closes.unused.Load()-unused, "closed_with_unread_input", s.closes.unread.Load()-unread, "in_progress", len(s.withRequest()),
+		"not_closed_by_callers", s.lingering(),
 		"delay_ms", delayed.Sub(began).Milliseconds(), "backlog_ms", closed.Sub(delayed).Milliseconds(),
-		"drain_ms", time.Since(closed).Milliseconds(), "err", err)
+		"drain_ms", drained.Sub(closed).Milliseconds(), "linger_ms", time.Since(drained).Milliseconds(), "err", err)
 	return err
 }
 
+// lingering returns how many connections have sent their last answer and wait for their callers to close.
+func (s *Server) lingering() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range append([]*generation{s.current}, s.older...) {
+		n += g.conns.lingering.len()
+	}
+	return n
+}
+
 // withRequest returns the connections of all generations that have a request.
 func (s *Server) withRequest() (used []*conn) {
 	s.mu.Lock()
@@ -268,7 +285,10 @@
 func (s *Server) Stop() error {
 	s.logCut()
 	s.endRequests(errShutdown)
-	return s.closeAll(func(g *generation) error { return g.server.Close() })
+	return s.closeAll(func(g *generation) error {
+		g.conns.lingering.stop()
+		return g.server.Close()
+	})
 }
 
 // closeAll closes the listener, and calls fn for all generations at the same time.
