End a process although nobody reads its output

A process whose standard output or standard error is a full pipe never ended after SIGTERM and was killed: the log module waited without a limit for its lines to be written, and the command line then wrote its error to the same pipe.

The log gives up when the context of its stop ends. From the signal on, a timer ends the process at [shutdown] drain_limit whatever the main goroutine still waits for; its line goes to standard error, without waiting for it.

--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -6,6 +6,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
@@ -72,13 +73,31 @@
 			_ = level.Error(logger).Log("msg", "process ends because of a failure", "err", failure)
 		}
 	}
-	drainCtx, cancel := context.WithTimeout(ctx, s.DrainLimit)
+	shutdownCtx, cancel := context.WithTimeout(ctx, s.DrainLimit)
 	defer cancel()
+	exitAtLimit(s.DrainLimit)
 	if failure == nil {
-		failure = k.Drain(drainCtx)
+		failure = k.Drain(shutdownCtx)
 	}
 	_ = level.Info(logger).Log("msg", "process ends", "err", failure)
-	return errors.CombineErrors(failure, k.Stop(drainCtx))
+	return errors.CombineErrors(failure, k.Stop(shutdownCtx))
+}
+
+// lastLineTime is the time that the line of exitAtLimit has to be written before the exit.
+const lastLineTime = 20 * time.Millisecond
+
+// exitAtLimit ends the process after the limit, whatever still runs then, such as the output of an error that nobody reads. The
+// line goes to standard error itself, since the log may be closed or blocked.
+func exitAtLimit(limit time.Duration) {
+	lineTime := min(lastLineTime, limit/2)
+	time.AfterFunc(limit-lineTime, func() {
+		go func() {
+			logger := log.With(log.NewLogfmtLogger(os.Stderr), "ts", log.TimestampFormat(time.Now, time.RFC3339Nano), "part", "process")
+			_ = level.Error(logger).Log("msg", "process exits at its limit, before its shutdown is complete", "limit", limit)
+		}()
+		time.Sleep(lineTime)
+		os.Exit(ExitFailure)
+	})
 }
 
 // reload loads the settings file again and passes it to the modules. If it cannot be loaded, nothing changes.
--- a/internal/modules/log/log.go
+++ b/internal/modules/log/log.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/chestnuttiller/chestnuttiller/internal/errs"
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/settings"
 )
@@ -77,12 +78,15 @@
 // Debug implements kernel.LogSink.
 func (m *Module) Debug() bool { return m.debug }
 
-// Stop implements kernel.Stopper. It writes the buffered lines.
-func (m *Module) Stop(context.Context) error {
+// Stop implements kernel.Stopper. It writes the buffered lines. If nobody reads them until the context ends, the rest of them
+// is lost and reported as an error.
+func (m *Module) Stop(ctx context.Context) error {
 	if m.stopped.Swap(true) {
 		return nil
 	}
-	m.writer.close()
+	if err := m.writer.close(ctx); err != nil {
+		return err
+	}
 	if m.file != nil {
 		return m.file.Close()
 	}
@@ -154,7 +158,13 @@
 	}
 }
 
-func (w *asyncWriter) close() {
+// close writes the buffered lines until the context ends.
+func (w *asyncWriter) close(ctx context.Context) error {
 	close(w.quit)
-	<-w.done
+	select {
+	case <-w.done:
+		return nil
+	case <-ctx.Done():
+		return errs.Wrap(ctx.Err(), errs.KindDeadline, "see why the log stream is not read", "up to %d log lines were not written", len(w.lines)+1)
+	}
 }
