Pass on requests of little-used routes during a shutdown

Callers of a route with fewer than 20 known latencies got 503 from the SIGTERM on, with seconds left until held requests are ended: without a 99th percentile nothing was taken to fit. A route whose 99th percentile was longer than the drain was refused in the same way, although its repeatable requests are sent to another leaf long before.

expectedLatency now decides from what the VM has seen. A request that may run only once needs the 99th percentile, or while that is not known the greater of the highest latency and the objective. A repeatable one needs no more than the objective unless the median is longer; once it was sent, a hedge or retry needs only the median, as it cannot make the answer worse. Without any latency the objective counts, and the timeout of a route without one.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -40,8 +40,8 @@
 	TryExtra(now time.Time, service model.ServiceName, hedge bool) Extra
 	// HedgeDelay returns how long an attempt may be unanswered before the request is sent to another leaf as well.
 	HedgeDelay() time.Duration
-	// HighLatency returns a latency that few attempts on the route exceed, and whether one is known.
-	HighLatency() (time.Duration, bool)
+	// SeenLatency returns what this VM has seen of the latency of the route.
+	SeenLatency() SeenLatency
 }
 
 // Options are the settings of a run.
@@ -188,13 +188,13 @@
 	r.partialAt, r.refuseAt = earlier(r.partialAt, now), earlier(r.refuseAt, now)
 }
 
-// fitsShutdown reports whether an attempt that is started now is expected to end before the VM does.
+// fitsShutdown reports whether an attempt that is started now is expected to end before the VM does. A request whose leaf does not
+// reply by then gets 504, while a refusal lets its caller use another VM at once.
 func (r *Run) fitsShutdown(now time.Time) bool {
 	if r.endBy.IsZero() {
 		return true
 	}
-	latency, known := r.env.HighLatency()
-	return known && !now.Add(latency).After(r.endBy)
+	return !now.Add(expectedLatency(r.env.SeenLatency(), r.route, r.sent)).After(r.endBy)
 }
 
 // stepPart adds the attempts that one part needs now, and returns when the part has to be evaluated again.
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -419,14 +419,6 @@
 	return limit
 }
 
-// highLatencyPercent is the quantile of the latency of a route within which an attempt is expected to end.
-const highLatencyPercent = 99
-
-// HighLatency returns a latency that few attempts on the route exceed, and whether there are enough observations for one.
-func (t *Tracker) HighLatency(route string) (time.Duration, bool) {
-	return t.quantile(route, highLatencyPercent, minLatencySamples)
-}
-
 // Prune removes the observations of leaves that were last used before the given time and whose pause had ended by then.
 func (t *Tracker) Prune(before time.Time) {
 	for k, s := range t.leaves {
--- a/internal/modules/forwarder/runner.go
+++ b/internal/modules/forwarder/runner.go
@@ -318,12 +318,12 @@
 	}()
 }
 
-// HighLatency implements forward.Env.
-func (r *runner) HighLatency() (time.Duration, bool) {
+// SeenLatency implements forward.Env.
+func (r *runner) SeenLatency() forward.SeenLatency {
 	m := r.module
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.tracker.HighLatency(r.route.Name)
+	return m.tracker.SeenLatency(r.route.Name)
 }
 
 // HedgeDelay implements forward.Env.
