Handle SIGTERM while the settings file cannot be read

SIGHUP, or a change of the settings file, made the main goroutine read the file. While the disk did not respond, no SIGTERM was handled, and the process was killed without a drain.

The file is read on a goroutine of its own. It gives no settings to modules once the shutdown has begun.

--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -55,34 +55,55 @@
 		return errors.CombineErrors(err, k.Stop(ctx))
 	}
 	_ = level.Info(logger).Log("msg", "process started", "availability_zone", s.AvailabilityZone)
-	watchCtx, stopWatch := context.WithCancel(ctx)
-	defer stopWatch()
-	changed := watchFile(watchCtx, path, settingsPollInterval, logger)
+	reloadCtx, stopReload := context.WithCancel(ctx)
+	defer stopReload()
+	reloads := make(chan struct{})
+	go func() {
+		defer close(reloads)
+		runReloads(reloadCtx, k, path, logger)
+	}()
 	var failure error
-	for running := true; running; {
-		select {
-		case <-hangup.Signals:
-			reload(k, path, "SIGHUP", logger)
-		case <-changed:
-			reload(k, path, "the file has changed", logger)
-		case sig := <-signals:
-			running = false
-			_ = level.Info(logger).Log("msg", "process is draining", "signal", sig, "limit", s.DrainLimit)
-		case failure = <-k.Failed():
-			running = false
-			_ = level.Error(logger).Log("msg", "process ends because of a failure", "err", failure)
-		}
+	select {
+	case sig := <-signals:
+		_ = level.Info(logger).Log("msg", "process is draining", "signal", sig, "limit", s.DrainLimit)
+	case failure = <-k.Failed():
+		_ = level.Error(logger).Log("msg", "process ends because of a failure", "err", failure)
 	}
 	shutdownCtx, cancel := context.WithTimeout(ctx, s.DrainLimit)
 	defer cancel()
 	exitAtLimit(s.DrainLimit)
+	stopReload()
 	if failure == nil {
 		failure = k.Drain(shutdownCtx)
 	}
+	select {
+	case <-reloads: // No module is given new settings while it stops.
+	case <-time.After(reloadWait):
+		_ = level.Warn(logger).Log("msg", "settings file is still being read and is not waited for", "file", path)
+	}
 	_ = level.Info(logger).Log("msg", "process ends", "err", failure)
 	return errors.CombineErrors(failure, k.Stop(shutdownCtx))
 }
 
+// runReloads reads the settings file again after each SIGHUP and change of the file, until the context ends. It runs on its own
+// goroutine, since a disk that does not respond must not delay the handling of SIGTERM.
+func runReloads(ctx context.Context, k *kernel.Kernel, path string, logger log.Logger) {
+	changed := watchFile(ctx, path, settingsPollInterval, logger)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup.Signals:
+			reload(ctx, k, path, "SIGHUP", logger)
+		case <-changed:
+			reload(ctx, k, path, "the file has changed", logger)
+		}
+	}
+}
+
+// reloadWait is how long the stop of the modules waits for a reload that has begun before.
+const reloadWait = 20 * time.Millisecond
+
 // lastLineTime is the time that the line of exitAtLimit has to be written before the exit.
 const lastLineTime = 20 * time.Millisecond
 
@@ -100,9 +121,13 @@
 	})
 }
 
-// reload loads the settings file again and passes it to the modules. If it cannot be loaded, nothing changes.
-func reload(k *kernel.Kernel, path, cause string, logger log.Logger) {
+// reload loads the settings file again and passes it to the modules. If it cannot be loaded, or the context has ended when it is,
+// nothing changes.
+func reload(ctx context.Context, k *kernel.Kernel, path, cause string, logger log.Logger) {
 	s, err := settings.Load(path, kernel.SettingsKeys())
+	if ctx.Err() != nil {
+		return // The process ends.
+	}
 	if err == nil {
 		err = k.Reload(s)
 	}
