Keep a connection while net/http holds a part of its next request

A caller that sent its next request with the one before it, or while that was handled, lost the connection in a drain: the second request was handled, also passed on to leaves, and its answer could not be sent. The same happened to a request of which net/http had read only the beginning.

Whether a connection has a request was set by reads and cleared when net/http reported it idle. Bytes that net/http already holds cause no further read, so the connection counted as unused and was closed.

A connection now keeps its request after a response until net/http reads with an empty buffer to wait for the next one. The size of the read shows whether the buffer is empty, and a second deadline shows that the wait has ended and the header is being read. Both are seen under the lock of the connection, as before. The drain is told when the connection becomes idle by that read.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -36,9 +36,15 @@
 type conn struct {
 	net.Conn
 	mu sync.Mutex
-	// hasRequest is set once a byte was read since the last response.
+	// hasRequest is set once a byte of a request was read that has no response. net/http may have read a part of the next request
+	// with the last one, so after a response it stays set until net/http needs more bytes.
 	hasRequest bool
-	closed     bool
+	// hasResponded is set from the end of a response to the next read or request. hasIdleDeadline is set if net/http has set the
+	// deadline for the beginning of that request.
+	hasResponded, hasIdleDeadline bool
+	closed                        bool
+	// bufferSize is how many bytes net/http reads at most while it holds none.
+	bufferSize int
 	// idleSince is when the connection was accepted or the last response ended. isNew is set until the first
 	// response has ended.
 	idleSince time.Time
@@ -56,8 +62,8 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.isClosed() {
-		return 0, net.ErrClosed
+	if err := c.beginRead(len(p)); err != nil {
+		return 0, err
 	}
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
@@ -78,19 +84,44 @@
 	return n, err
 }
 
+// beginRead makes the connection idle if net/http holds nothing of a request after the last response. It holds something if it asks
+// for fewer bytes than its buffer can take.
+func (c *conn) beginRead(size int) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	if c.bufferSize == 0 {
+		c.bufferSize = size // This is the first read.
+	}
+	if c.hasResponded {
+		c.hasResponded, c.hasRequest = false, size < c.bufferSize
+		if !c.hasRequest {
+			c.set.signal()
+		}
+	}
+	return nil
+}
+
 func (c *conn) isClosed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.closed
 }
 
-// SetReadDeadline implements net.Conn. Once the connection is being closed, its deadline belongs to linger.
+// SetReadDeadline implements net.Conn. Once the connection is being closed, its deadline belongs to linger. After a response, net/http
+// sets a first deadline to wait for a request, and a second one once it holds the beginning of that request.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return net.ErrClosed
 	}
+	if c.hasResponded && c.hasIdleDeadline {
+		c.hasResponded = false
+	}
+	c.hasIdleDeadline = true
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -145,10 +176,17 @@
 // Close.
 func (c *conn) CloseWrite() error { return c.Close() }
 
-func (c *conn) setIdle(now time.Time) {
+func (c *conn) setResponded(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.hasRequest, c.isNew, c.idleSince, c.state = false, false, now, requestNone
+	c.hasResponded, c.hasIdleDeadline, c.isNew, c.idleSince, c.state = true, false, false, now, requestNone
+}
+
+// setActive follows the end of a header, or an error in it.
+func (c *conn) setActive() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hasRequest, c.hasResponded = true, false
 }
 
 // closeIfUnused closes the connection if nothing of a request was read and the first one is not expected any more. Otherwise it
@@ -198,7 +236,11 @@
 func (s *connSet) setState(c *conn, state http.ConnState) {
 	switch state {
 	case http.StateIdle:
-		c.setIdle(time.Now())
+		c.setResponded(time.Now())
+		return // beginRead makes it idle.
+	case http.StateActive:
+		c.setActive()
+		return
 	case http.StateClosed, http.StateHijacked:
 		s.mu.Lock()
 		delete(s.conns, c)
@@ -206,6 +248,10 @@
 	default:
 		return
 	}
+	s.signal()
+}
+
+func (s *connSet) signal() {
 	select {
 	case s.changed <- struct{}{}:
 	default: // A value is already pending.
--- /dev/null
+++ b/internal/httpserver/pipeline_test.go
@@ -0,0 +1,102 @@
+package httpserver
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a second request that arrived in one segment with the first and is handled on a connection that a drain closes as
+// unused.
+func TestDrainAnswersTheSecondOfTwoRequestsInOneSegment(t *testing.T) {
+	entered, release := make(chan struct{}), make(chan struct{})
+	s := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/second" {
+			close(entered)
+			<-release
+		}
+		replyNoContent(w, r)
+	}, patient)
+	c := dial(t, s)
+	c.send("GET / HTTP/1.1\r\nHost: h\r\n\r\nGET /second HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-entered
+	drained := drainWithin(s, long)
+	time.Sleep(short)
+	close(release)
+	for range 2 {
+		res, err := http.ReadResponse(c.reader, nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusNoContent, res.StatusCode)
+	}
+	require.NoError(t, <-drained)
+}
+
+// Guards against a request of which a part was read with the one before it, or while that was handled, and whose connection is closed
+// as unused.
+func TestDrainAnswersARequestThatBeganDuringTheOneBefore(t *testing.T) {
+	const first, second = "GET / HTTP/1.1\r\nHost: h\r\n\r\n", "GET /second HTTP/1.1\r\nHost: h\r\n\r\n"
+	for name, sent := range map[string]struct {
+		with, during int
+	}{
+		"a byte while handled":         {0, 1},
+		"a byte in the same segment":   {1, 0},
+		"a byte in it and one later":   {1, 1},
+		"3 bytes in the same segment":  {3, 0},
+		"half a header in the segment": {len(second) / 2, 0},
+		"half a header while handled":  {0, len(second) / 2},
+		"no blank line in the segment": {len(second) - 2, 0},
+		"no blank line while handled":  {0, len(second) - 2},
+		"all but a byte in both":       {len(second) / 2, len(second)/2 - 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			entered, release := make(chan struct{}, 2), make(chan struct{})
+			s := start(t, func(w http.ResponseWriter, r *http.Request) {
+				entered <- struct{}{}
+				<-release
+				replyNoContent(w, r)
+			}, patient)
+			c := dial(t, s)
+			c.send("%s", first+second[:sent.with])
+			<-entered
+			c.send("%s", second[sent.with:sent.with+sent.during])
+			time.Sleep(short)
+			close(release)
+			res, err := http.ReadResponse(c.reader, nil)
+			require.NoError(t, err)
+			require.False(t, res.Close)
+			time.Sleep(short)
+			drained := drainWithin(s, long)
+			time.Sleep(short)
+			c.send("%s", second[sent.with+sent.during:])
+			res, err = http.ReadResponse(c.reader, nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusNoContent, res.StatusCode)
+			require.NoError(t, <-drained)
+		})
+	}
+}
+
+// Guards against a connection that stays in service during a drain although it is idle, after bodies larger than a buffer and
+// requests in one segment.
+func TestDrainClosesAConnectionThatIsIdleAfterLargeBodies(t *testing.T) {
+	s := start(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body) // The test checks the answer.
+		replyNoContent(w, r)
+	}, patient)
+	c := dial(t, s)
+	for range 2 {
+		c.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n%0200000dGET / HTTP/1.1\r\nHost: h\r\n\r\n", 1)
+		for range 2 {
+			res, err := http.ReadResponse(c.reader, nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusNoContent, res.StatusCode)
+		}
+	}
+	drained := drainWithin(s, long)
+	require.Less(t, c.waitForClose(), long/8)
+	require.NoError(t, <-drained)
+}
