Reset the connection of a broken-off answer to a caller with HTTP/1.0

A caller with HTTP/1.0 took an answer that broke off halfway for a complete one: without a length its body ends with the connection, and both a handler that gave up and a stop ended the connection in the ordinary way.

A connection whose HTTP/1.0 answer has begun is now reset if the handler did not return, or if the server stops before net/http has closed the connection after the last bytes. HTTP/1.1 has lengths or chunks, so nothing changes there.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -23,6 +23,8 @@
 	requestReading   requestState = "reading"
 	requestHandling  requestState = "handling"
 	requestAnswering requestState = "answering"
+	// requestAnswered is the state from the return of the handler until the last bytes of the answer are written.
+	requestAnswered requestState = "answered"
 )
 
 // closeCounts counts the connections of a Server that were closed in a certain state.
@@ -52,7 +54,9 @@
 	// state belongs to the request that began at requestSince.
 	state        requestState
 	requestSince time.Time
-	set          *connSet
+	// endsByClose is set if the end of the connection may be the end of the answer, as in HTTP/1.0.
+	endsByClose bool
+	set         *connSet
 	// callerEnded is set once the caller has closed its side or the connection has failed.
 	callerEnded bool
 }
@@ -139,6 +143,10 @@
 	}
 	c.closed = true
 	t, ok := c.Conn.(*net.TCPConn)
+	if ok && c.endsByClose && (c.state == requestAnswering || c.state == requestAnswered && c.set.lingering.isStopped()) {
+		_ = t.SetLinger(0) // The answer is not complete, which only a reset shows. A broken connection needs none.
+		return c.Conn.Close()
+	}
 	// A connection that is idle has unread input only if it crosses the close, which harms answers that are still being sent.
 	mayLoseAnswer := !c.callerEnded && (c.hasRequest || unsentBytes(c.Conn) > 0)
 	if !ok || !mayLoseAnswer || !c.set.lingering.add(c) {
@@ -153,6 +161,14 @@
 	return err
 }
 
+// beginRequest follows the start of a handler.
+func (c *conn) beginRequest(endsByClose bool) {
+	c.setRequestState(requestHandling)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endsByClose = endsByClose
+}
+
 func (c *conn) setRequestState(state requestState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/httpserver/generation.go
+++ b/internal/httpserver/generation.go
@@ -43,7 +43,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	c := r.Context().Value(connKey{}).(*conn)
-	c.setRequestState(requestHandling)
+	c.beginRequest(!r.ProtoAtLeast(1, 1))
 	w = &responseWriter{ResponseWriter: w, server: g.parent, conn: c}
 	bodyTimeout := g.options.BodyTimeout
 	if endBy := g.parent.endBy.Load(); endBy != nil {
@@ -58,6 +58,7 @@
 		r.Body = newTimedBody(w, r.Body, bodyTimeout)
 	}
 	g.parent.handler.ServeHTTP(w, r)
+	c.setRequestState(requestAnswered)
 	g.parent.answered.Add(1)
 }
 
--- a/internal/httpserver/linger.go
+++ b/internal/httpserver/linger.go
@@ -72,6 +72,12 @@
 	}
 }
 
+func (s *lingerSet) isStopped() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopped
+}
+
 // stop closes the connections, and makes others be closed at once from now on.
 func (s *lingerSet) stop() {
 	s.mu.Lock()
