Wake waiting requests after a connection to a leaf has ended, not before

A request that waited for a connection to a leaf could go on waiting although one could be opened: until a quarter of the objective had passed, or after that until its deadline (504). This happened with leaves that close their connections with their replies, as they do while they drain or restart, with connections above a lowered limit or to a leaf that is no longer listed, and with attempts that were cancelled. The result of the attempt wakes one waiting request, and it was reported while the connection still counted. The request found no available connection and was not woken again.

The reading goroutine now closes the connection and takes it out of the count before it reports the last result.

TestEndedConnectionIsNotCountedWhenItsResultIsReported failed on the earlier code: 0 available connections when the result was reported, instead of 1.

--- a/internal/modules/leafpool/conn.go
+++ b/internal/modules/leafpool/conn.go
@@ -115,9 +115,8 @@
 		a.finish(nil, errs.New(errs.KindUnavailable, "send the request to another leaf", "leaf %s closed the connection before the request was sent", c.pool.leaf.ID), false)
 		return
 	}
-	if err := c.net.SetDeadline(a.req.Until.Add(replyGrace)); err != nil {
-		c.fail(err) // The connection has been closed meanwhile.
-		return
+	if c.net.SetDeadline(a.req.Until.Add(replyGrace)) != nil {
+		return // The connection has been closed meanwhile, and the reading goroutine reports it.
 	}
 	if len(data) > maxInlineBytes {
 		go c.write(data)
@@ -139,39 +138,44 @@
 	c.mu.Unlock()
 }
 
-// read reads replies until the connection ends.
+// read reads replies until the connection ends. It reports the result of the last attempt once the connection is not counted any
+// more, since the result wakes a request that waits for a connection.
 func (c *conn) read() {
+	reportLast := c.readReplies()
+	_ = c.net.Close()
+	c.memory.Release()
+	c.pool.closed(c)
+	reportLast()
+}
+
+// readReplies reports the replies after which the connection is idle. It returns once the connection has to be closed, with the
+// function that reports the result of the last attempt.
+func (c *conn) readReplies() (reportLast func()) {
 	m := c.pool.module
-	defer c.pool.closed(c)
-	defer c.memory.Release()
-	defer c.net.Close()
 	for {
 		if _, err := c.reader.Peek(1); err != nil {
-			c.fail(err)
-			return
+			return c.fail(err)
 		}
 		a := c.currentAttempt()
 		if a == nil {
-			c.fail(nil)
+			reportLast = c.fail(nil)
 			m.metrics.unexpected.Inc(1)
 			_ = level.Warn(m.logger).Log("msg", "closed a connection to a leaf because it sent bytes that belong to no request", "leaf", c.pool.leaf.ID, "bytes", c.reader.Buffered())
-			return
+			return reportLast
 		}
 		reply, reusable, err := m.protocol.ReadReply(c.reader, a.req)
 		if err == nil && !reply.Identified && c.wasUsed() {
 			err = errs.New(errs.KindUnavailable, "let the leaf name the attempt in each reply", "a reply on a connection that was used before names no attempt and may be a second copy of an earlier one")
 		}
 		if err != nil {
-			c.fail(err)
-			return
+			return c.fail(err)
 		}
 		c.memory.Release()
 		c.pool.observe(reply)
-		released := c.release(reply, reusable)
-		a.finish(reply, nil, true)
-		if !released {
-			return
+		if !c.release(reply, reusable) {
+			return func() { a.finish(reply, nil, true) }
 		}
+		a.finish(reply, nil, true)
 	}
 }
 
@@ -215,15 +219,15 @@
 	return c.pool.putIdle(c)
 }
 
-// fail ends the attempt that waits for a reply on a connection that has ended.
-func (c *conn) fail(err error) {
+// fail takes the attempt that waits for a reply from a connection that has ended, and returns the function that reports its failure.
+func (c *conn) fail(err error) (report func()) {
 	c.mu.Lock()
 	a := c.current
 	c.current, c.ended = nil, true
 	unused := !c.used
 	c.mu.Unlock()
 	if a == nil {
-		return
+		return func() {}
 	}
 	m := c.pool.module
 	m.metrics.broken.Inc(1)
@@ -231,5 +235,7 @@
 	a.mu.Lock()
 	a.refused = unused && !a.cancelled
 	a.mu.Unlock()
-	a.finish(nil, errs.Wrap(err, errs.KindUnknownOutcome, "send the request again only if it is repeatable", "no complete reply from leaf %s", c.pool.leaf.ID), true)
+	return func() {
+		a.finish(nil, errs.Wrap(err, errs.KindUnknownOutcome, "send the request again only if it is repeatable", "no complete reply from leaf %s", c.pool.leaf.ID), true)
+	}
 }
--- a/internal/modules/leafpool/leafpool_test.go
+++ b/internal/modules/leafpool/leafpool_test.go
@@ -366,3 +366,39 @@
 	time.AfterFunc(20*time.Millisecond, cancel)
 	require.False(t, (<-done).Refused, "the leaf did not close the connection")
 }
+
+// onceProtocol is a protocol whose connections are not used again after a reply.
+type onceProtocol struct{ lineProtocol }
+
+func (x onceProtocol) ReadReply(r *bufio.Reader, req *forward.LeafRequest) (*forward.LeafReply, bool, error) {
+	reply, _, err := x.lineProtocol.ReadReply(r, req)
+	return reply, false, err
+}
+
+// Guards against a request that waits for a connection, is woken by the result of another one whose connection still counts, and
+// then waits although a connection can be opened.
+func TestEndedConnectionIsNotCountedWhenItsResultIsReported(t *testing.T) {
+	for name, serve := range map[string]func(net.Conn, *bufio.Reader){
+		"closed after the reply":  echo,
+		"closed without a reply":  func(_ net.Conn, r *bufio.Reader) { _, _ = r.ReadString('\n') },
+		"closed within the reply": func(c net.Conn, r *bufio.Reader) { _, _ = r.ReadString('\n'); _, _ = c.Write([]byte("hal")) },
+	} {
+		l, _ := startLeaf(t, serve)
+		m := newModule(t, l, 1)
+		m.protocol = onceProtocol{}
+		for range 10 {
+			available := make(chan int, 1)
+			req := &forward.LeafRequest{Request: &forward.Request{ID: "a"}, Until: time.Now().Add(5 * time.Second)}
+			m.Send(l, req, func(forward.AttemptResult) { available <- m.AvailableConnections(l) })
+			require.Equal(t, 1, <-available, name)
+		}
+	}
+	l, _ := startLeaf(t, func(_ net.Conn, r *bufio.Reader) { _, _ = r.ReadString(0) })
+	m := newModule(t, l, 1)
+	available := make(chan int, 1)
+	req := &forward.LeafRequest{Request: &forward.Request{ID: "a"}, Until: time.Now().Add(5 * time.Second)}
+	cancel := m.Send(l, req, func(forward.AttemptResult) { available <- m.AvailableConnections(l) })
+	require.Eventually(t, func() bool { return m.AvailableConnections(l) == 0 }, 5*time.Second, time.Millisecond)
+	cancel()
+	require.Equal(t, 1, <-available, "cancelled")
+}
