Let a request notice a connection that became available before it waits

A request that found no available connection entered the queue of its service after its step, without the lock in between. A connection that became available in that time woke another request or none. The request then waited until it was woken for another reason: up to a quarter of its objective if it was sent to no leaf, and up to its deadline (504) for a retry after that.

A request that enters a queue now takes one more step.

TestConnectionThatBecomesAvailableBeforeTheQueueIsUsed plays this order.

--- a/internal/modules/forwarder/module_test.go
+++ b/internal/modules/forwarder/module_test.go
@@ -167,3 +167,40 @@
 		require.Zero(t, r.Missing)
 	}
 }
+
+// lateTransport has no available connection when it is first asked. One becomes available right after that, before the request has
+// entered the queue of those that wait.
+type lateTransport struct {
+	partitionTransport
+	m     *Module
+	asked map[model.ServiceName]bool
+}
+
+func (x *lateTransport) AvailableConnections(l *leaves.Member) int {
+	if !x.asked[l.Service] {
+		x.asked[l.Service] = true
+		x.m.waiters.wake(l.Service) // The tracker asks while the module's lock is held.
+		return 0
+	}
+	return 1
+}
+
+// Guards against a request that waits for a connection until it is refused or times out, because one became available just before
+// it entered the queue.
+func TestConnectionThatBecomesAvailableBeforeTheQueueIsUsed(t *testing.T) {
+	m, _ := newPartitionModule(t)
+	m.transport = &lateTransport{m: m, asked: map[model.ServiceName]bool{}}
+	route := m.control.View().Routes.Match("h", "/")
+	route.Timeout, route.Objective = time.Minute, 40*time.Second
+	done := make(chan *forward.Response, 1)
+	go func() {
+		// The request is old enough not to be woken to check for unresponsive zones.
+		done <- m.Forward(context.Background(), &forward.Request{ID: "x", Host: "h", Path: "/", Received: time.Now().Add(-zoneCheckEnd), Deadline: time.Now().Add(time.Minute)})
+	}()
+	select {
+	case r := <-done:
+		require.Equal(t, forward.KindMerged, r.Kind)
+	case <-time.After(3 * time.Second):
+		require.Fail(t, "the request still waits")
+	}
+}
--- a/internal/modules/forwarder/runner.go
+++ b/internal/modules/forwarder/runner.go
@@ -204,6 +204,13 @@
 	r.module.waiters.remove(r.waiting, r)
 	r.waiting = services
 	r.module.waiters.add(services, r)
+	if len(services) > 0 {
+		// A connection may have become available since the step, and has woken another request or none.
+		select {
+		case r.wakes <- struct{}{}:
+		default: // The next step is due anyway.
+		}
+	}
 }
 
 func (r *runner) leaveQueues() {
