Try a hedge again after the other leaves were busy

A repeatable request whose leaf was silent got 504, at its deadline or at the end of its VM, if the other leaves had no available connection at the moment when its hedge was due: the attempt was marked as hedged for good, also if the others were idle soon after.

The hedge is now tried again each quarter of the objective, so that busy leaves get few more attempts. The route and the budget limit extra attempts as before.

TestHedgeIsTriedAgainAfterOtherLeavesWereBusy failed on the earlier code: the next step was due at the deadline, 1 s, instead of 120 ms.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -11,7 +11,7 @@
 const (
 	// refusalDivisor divides the objective. The result is the time for which a request waits for an available
 	// connection to a leaf before it is refused. A caller that is refused this early can still be served in time by
-	// another VM.
+	// another VM. It is also the time after which a hedge that found no available connection is tried again.
 	refusalDivisor = 4
 	// maxUnrunAttempts is how many attempts beyond the allowed number a part gets when leaves did not run the others.
 	maxUnrunAttempts = 4
@@ -71,6 +71,8 @@
 	err              error
 	// hedged reports whether no further hedge is to be sent for this attempt.
 	hedged bool
+	// hedgeAt is when a hedge is tried again, after no other leaf had an available connection. It is zero before.
+	hedgeAt time.Time
 }
 
 // part is one shard of a scatter-gather request, or the whole of any other request.
@@ -100,6 +102,8 @@
 	// partialAt is when a partial answer is given instead of waiting for the remaining parts. deadline is when the caller gets a
 	// response in any case, and refuseAt is when a request that was sent to no leaf is refused.
 	partialAt, deadline, refuseAt time.Time
+	// hedgeRetry is how long after a hedge found no leaf it is tried again.
+	hedgeRetry time.Duration
 	// endBy is when the VM answers at the latest because it is shutting down, if that is before the deadline of the request.
 	endBy         time.Time
 	answeredParts int
@@ -126,6 +130,7 @@
 	}
 	r.partialAt = earlier(req.Received.Add(max(objective-o.CallerDelay, objective/2)), r.deadline)
 	r.refuseAt = earlier(req.Received.Add(objective/refusalDivisor), r.deadline)
+	r.hedgeRetry = max(objective/refusalDivisor, roundDelay)
 	if !route.IsScatterGather() {
 		r.parts = []part{{service: service}}
 		return r
@@ -213,14 +218,15 @@
 	if !r.route.Repeatable || p.budgetExhausted || pending.hedged || !r.allowsExtra(p) || !r.fitsShutdown(now) {
 		return sends, r.deadline
 	}
-	due := pending.started.Add(r.env.HedgeDelay())
+	due := later(pending.started.Add(r.env.HedgeDelay()), pending.hedgeAt)
 	if now.Before(due) {
 		return sends, due
 	}
 	leaf := r.env.Choose(now, p.service, p.tried)
 	if leaf == nil {
-		pending.hedged = true // No other leaf has an available connection, and trying again would only add load.
-		return sends, r.deadline
+		// The other leaves are busy. This one may stay silent for longer than they are, but trying often would only add load.
+		pending.hedgeAt = now.Add(r.hedgeRetry)
+		return sends, earlier(pending.hedgeAt, r.deadline)
 	}
 	switch r.env.TryExtra(now, p.service, true) {
 	case ExtraPending:
--- a/internal/forward/run_test.go
+++ b/internal/forward/run_test.go
@@ -362,3 +362,27 @@
 		require.Empty(t, sends)
 	}
 }
+
+// Guards against a request that is held by a silent leaf until its deadline or the end of the VM, because the other leaves were busy
+// for a moment when its hedge was due; and against hedges that are tried all the time while they are.
+func TestHedgeIsTriedAgainAfterOtherLeavesWereBusy(t *testing.T) {
+	e := newEnv("a")
+	r := newRun(singleRoute(true), e) // The objective is 400 ms.
+	sends, _, _ := r.Step(start)
+	require.Equal(t, "a1", sends[0].Leaf.ID)
+	e.full["a2"], e.full["a3"] = true, true
+	sends, response, wake := r.Step(at(20))
+	require.Empty(t, sends)
+	require.Nil(t, response)
+	require.Equal(t, at(120), wake)
+	e.full["a2"] = false
+	sends, _, wake = r.Step(at(60))
+	require.Empty(t, sends)
+	require.Equal(t, at(120), wake)
+	sends, _, _ = r.Step(at(120))
+	require.Len(t, sends, 1)
+	require.Equal(t, "a2", sends[0].Leaf.ID)
+	sends, _, _ = r.Step(at(300))
+	require.Empty(t, sends, "the route allows two attempts")
+	require.Zero(t, r.Waiting(), "a request with an attempt under way is in no queue")
+}
