Let waiting requests notice changes of leaves and routes

A request that waited for a connection to the leaves of a service was woken only by the end of an attempt at it. If the listed leaves were silent, it did not notice another leaf that was listed meanwhile, nor a table that allows more connections to each leaf: a request that was sent to no leaf waited for a quarter of its objective, and a retry after that until its deadline (504).

The forwarder now follows the view and lets waiting requests try again when the leaves, the routes or the number of entry VMs change.

TestWaitingRequestNoticesANewLeaf failed without the change: the request still waited after 3 s.

--- a/internal/modules/forwarder/module.go
+++ b/internal/modules/forwarder/module.go
@@ -57,6 +57,7 @@
 	runCtx    context.Context
 	cancel    context.CancelFunc
 	control   *kernel.Control
+	changes   <-chan struct{}
 	readiness *kernel.Readiness
 	transport kernel.LeafTransport
 	logger    log.Logger
@@ -75,6 +76,8 @@
 	grants  *forward.GrantBook
 	random  *rand.Rand
 	waiters waiters
+	// applied is the last view that was compared with the one before it.
+	applied *kernel.View
 	// prunedAt is when old observations were last removed.
 	prunedAt time.Time
 	// answerLines limits the log lines about answered requests, and ejectionLines those about leaves that get no
@@ -93,6 +96,7 @@
 func (m *Module) Provision(ctx *kernel.Context) error {
 	s := ctx.Settings
 	m.control, m.logger, m.now = ctx.Control, ctx.Logger("forward"), ctx.Now
+	m.changes = ctx.Control.Changes()
 	m.readiness, m.started = ctx.Readiness, ctx.Now()
 	m.runCtx, m.cancel = context.WithCancel(context.Background())
 	m.metrics = newMetrics(ctx.Scope("forward"))
@@ -122,6 +126,23 @@
 	return err
 }
 
+// Start implements kernel.Starter.
+func (m *Module) Start(context.Context) error {
+	m.control.Follow(m.runCtx, m.changes, m.applyView)
+	return nil
+}
+
+// applyView lets waiting requests try again if the view has other leaves, or allows other numbers of connections to them, than the
+// one before.
+func (m *Module) applyView(v *kernel.View) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if previous := m.applied; previous == nil || previous.Leaves != v.Leaves || previous.Routes != v.Routes || previous.EntryVMs != v.EntryVMs {
+		m.waiters.wakeAll()
+	}
+	m.applied = v
+}
+
 // Stop implements kernel.Stopper.
 func (m *Module) Stop(context.Context) error {
 	m.cancel()
--- a/internal/modules/forwarder/module_test.go
+++ b/internal/modules/forwarder/module_test.go
@@ -204,3 +204,55 @@
 		require.Fail(t, "the request still waits")
 	}
 }
+
+// fullTransport has no available connection to the leaf of a service.
+type fullTransport struct {
+	partitionTransport
+	full string
+}
+
+func (x *fullTransport) AvailableConnections(l *leaves.Member) int {
+	if l.ID == x.full {
+		return 0
+	}
+	return 1
+}
+
+// Guards against a request that waits for the busy leaves of a service until it is refused or times out, although another leaf has
+// been listed meanwhile.
+func TestWaitingRequestNoticesANewLeaf(t *testing.T) {
+	m, _ := newPartitionModule(t)
+	m.transport = &fullTransport{full: "b"}
+	before := m.control.View()
+	m.applyView(before)
+	route := before.Routes.Match("h", "/")
+	route.Timeout, route.Objective, route.MinCoverage = time.Minute, 40*time.Second, 1
+	done := make(chan *forward.Response, 1)
+	go func() {
+		// The request is old enough not to be woken to check for unresponsive zones.
+		done <- m.Forward(context.Background(), &forward.Request{ID: "x", Host: "h", Path: "/", Received: time.Now().Add(-zoneCheckEnd), Deadline: time.Now().Add(time.Minute)})
+	}()
+	waits := func() bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		list := m.waiters["b"]
+		return len(list) == 1 && len(list[0].wakes) == 0
+	}
+	require.Eventually(t, waits, 3*time.Second, time.Millisecond)
+	index := &leaves.Index{Services: map[model.ServiceName][]*leaves.Member{}}
+	for s, list := range before.Leaves.Services {
+		index.Services[s] = list
+	}
+	other := *index.Services["b"][0]
+	other.ID = "b-2"
+	index.Services["b"] = append([]*leaves.Member{&other}, index.Services["b"]...)
+	m.control.SetTestView(&kernel.View{Routes: before.Routes, Leaves: index})
+	m.applyView(m.control.View())
+	select {
+	case r := <-done:
+		require.Equal(t, forward.KindMerged, r.Kind)
+		require.Zero(t, r.Missing)
+	case <-time.After(3 * time.Second):
+		require.Fail(t, "the request still waits")
+	}
+}
--- a/internal/modules/forwarder/waiters.go
+++ b/internal/modules/forwarder/waiters.go
@@ -42,3 +42,15 @@
 		}
 	}
 }
+
+// wakeAll lets all waiting requests try again.
+func (w waiters) wakeAll() {
+	for _, list := range w {
+		for _, r := range list {
+			select {
+			case r.wakes <- struct{}{}:
+			default: // It is woken already.
+			}
+		}
+	}
+}
