Handle SIGTERM while the process starts

The modules were provisioned and started on the main goroutine. While one of them waited for a disk, or for the control goroutine, SIGTERM was held back without a limit and the process was killed; a start that went on after SIGTERM opened its listeners first.

The start runs on its own goroutine. On a signal, no further module is started, what has started is drained and stopped, and the process ends at [shutdown] drain_limit, counted from the signal, also if the start does not return. A start that fails stops its modules within the same limit.

TestNoModuleStartsAfterTheContextHasEnded covers the rest of the start. Before its signal handler is installed the process has no listener, so the default action of SIGTERM cuts nothing off.

--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -36,8 +36,8 @@
 	return cmd
 }
 
-// runKernel runs a process until a signal or a failure ends it. SIGTERM and SIGINT drain it; a second signal is
-// ignored, since a setting limits the time of the whole shutdown. SIGHUP and a change of the settings file make the
+// runKernel runs a process until a signal or a failure ends it. SIGTERM and SIGINT drain it, also while it starts; a second
+// signal is ignored, since a setting limits the time of the whole shutdown. SIGHUP and a change of the settings file make the
 // process read the file again.
 func runKernel(ctx context.Context, s *settings.Settings, path string) error {
 	signals := make(chan os.Signal, 1)
@@ -46,13 +46,32 @@
 	if mb := s.Int("vm", "memory_limit_mb"); mb > 0 {
 		debug.SetMemoryLimit(int64(mb) << 20)
 	}
-	k, err := kernel.New(s)
-	if err != nil {
-		return err
+	startCtx, cancelStart := context.WithCancel(ctx)
+	defer cancelStart()
+	starting := make(chan startResult, 1)
+	go func() { starting <- startKernel(startCtx, s) }()
+	var started startResult
+	select {
+	case started = <-starting:
+	case sig := <-signals:
+		exitAtLimit(s.DrainLimit)
+		limit := time.Now().Add(s.DrainLimit)
+		cancelStart()
+		started = <-starting // The process exits at its limit if the start does not end.
+		if started.kernel == nil {
+			return started.err
+		}
+		logger := started.kernel.Context().Logger("process")
+		_ = level.Info(logger).Log("msg", "process is draining; the signal arrived while it started", "signal", sig, "limit", s.DrainLimit, "err", started.err)
+		return shutDown(ctx, started.kernel, limit, logger, nil)
+	}
+	if started.kernel == nil {
+		return started.err
 	}
-	logger := k.Context().Logger("process")
-	if err := k.Start(ctx); err != nil {
-		return errors.CombineErrors(err, k.Stop(ctx))
+	k, logger := started.kernel, started.kernel.Context().Logger("process")
+	if started.err != nil {
+		exitAtLimit(s.DrainLimit)
+		return shutDown(ctx, k, time.Now().Add(s.DrainLimit), logger, started.err)
 	}
 	_ = level.Info(logger).Log("msg", "process started", "availability_zone", s.AvailabilityZone)
 	reloadCtx, stopReload := context.WithCancel(ctx)
@@ -69,20 +88,42 @@
 	case failure = <-k.Failed():
 		_ = level.Error(logger).Log("msg", "process ends because of a failure", "err", failure)
 	}
-	shutdownCtx, cancel := context.WithTimeout(ctx, s.DrainLimit)
-	defer cancel()
 	exitAtLimit(s.DrainLimit)
+	limit := time.Now().Add(s.DrainLimit)
 	stopReload()
-	if failure == nil {
-		failure = k.Drain(shutdownCtx)
-	}
 	select {
-	case <-reloads: // No module is given new settings while it stops.
+	case <-reloads: // No module is given new settings while it drains and stops.
 	case <-time.After(reloadWait):
 		_ = level.Warn(logger).Log("msg", "settings file is still being read and is not waited for", "file", path)
 	}
+	return shutDown(ctx, k, limit, logger, failure)
+}
+
+// startResult is what a start has led to. The kernel is nil if its modules could not be provisioned.
+type startResult struct {
+	kernel *kernel.Kernel
+	err    error
+}
+
+// startKernel provisions and starts the modules. It runs on its own goroutine, since a disk that does not respond must not delay
+// the handling of SIGTERM.
+func startKernel(ctx context.Context, s *settings.Settings) startResult {
+	k, err := kernel.New(s)
+	if err != nil {
+		return startResult{err: err}
+	}
+	return startResult{k, k.Start(ctx)}
+}
+
+// shutDown drains the modules, unless the process ends because of a failure, and stops them.
+func shutDown(ctx context.Context, k *kernel.Kernel, limit time.Time, logger log.Logger, failure error) error {
+	ctx, cancel := context.WithDeadline(ctx, limit)
+	defer cancel()
+	if failure == nil {
+		failure = k.Drain(ctx)
+	}
 	_ = level.Info(logger).Log("msg", "process ends", "err", failure)
-	return errors.CombineErrors(failure, k.Stop(shutdownCtx))
+	return errors.CombineErrors(failure, k.Stop(ctx))
 }
 
 // runReloads reads the settings file again after each SIGHUP and change of the file, until the context ends. It runs on its own
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -149,12 +149,16 @@
 // Context returns the context of the modules, for the command line and tests.
 func (k *Kernel) Context() *Context { return k.ctx }
 
-// Start starts the control goroutine and then the modules in dependency order.
+// Start starts the control goroutine and then the modules in dependency order. It starts no further module once the context
+// has ended.
 func (k *Kernel) Start(ctx context.Context) error {
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	k.cancel = cancel
 	go k.ctx.Control.run(runCtx)
 	for _, m := range k.modules {
+		if err := ctx.Err(); err != nil {
+			return err
+		}
 		k.started++
 		if s, ok := m.module.(Starter); ok {
 			if err := s.Start(runCtx); err != nil {
--- a/internal/kernel/shutdown_test.go
+++ b/internal/kernel/shutdown_test.go
@@ -182,3 +182,22 @@
 	require.NoError(t, ctx.Err(), "no time is left for the stop")
 	require.NoError(t, k.Stop(ctx))
 }
+
+// starter is a module whose start calls a function.
+type starter func()
+
+func (s starter) Start(context.Context) error {
+	s()
+	return nil
+}
+
+// Guards against a process that opens its listeners after it was told to end.
+func TestNoModuleStartsAfterTheContextHasEnded(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	late := false
+	k := &Kernel{modules: []runningModule{named("a", starter(cancel)), named("b", starter(func() { late = true }))}}
+	k.ctx = &Context{kernel: k, Control: newControl(time.Now), Readiness: NewReadiness(), Now: time.Now}
+	require.ErrorIs(t, k.Start(ctx), context.Canceled)
+	require.False(t, late)
+	require.NoError(t, k.Stop(context.Background()))
+}
