Keep serving after the reader of the log has ended

The program that read standard output or standard error could end, and the process was ended by SIGPIPE with its next log line: it cut off all requests, without a drain and without a line.

The command run ignores SIGPIPE, so that the write of the line fails and the process goes on.

TestProcessServesAfterTheReaderOfItsOutputHasEnded failed before: the process ended while it started.

--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -43,6 +43,7 @@
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	signal.Ignore(syscall.SIGPIPE) // A process serves although the reader of its log has ended; the write fails.
 	if mb := s.Int("vm", "memory_limit_mb"); mb > 0 {
 		debug.SetMemoryLimit(int64(mb) << 20)
 	}
