Test disks that are full one after another, and a power loss after it

Tests knew one full disk and all disks full at once. In some turns the VM was disconnected before and is behind, or a process is stopped or killed, also the one with the full disk. Then all have room: a change has to be acknowledged within 5 s, a read to return the newest state, all VMs to be members and to catch up, and no file of a refused write to be left. At the end all machines lose power at once with what was not synced, in half of the runs one of them its disk, and the same has to hold. All states that any replica applied are compared.

--- a/internal/modules/controllog/disks_test.go
+++ b/internal/modules/controllog/disks_test.go
@@ -1,12 +1,26 @@
 package controllog
 
 import (
+	"context"
+	"encoding/binary"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/chestnuttiller/chestnuttiller/internal/consensus"
+	"github.com/chestnuttiller/chestnuttiller/internal/errs"
+	"github.com/chestnuttiller/chestnuttiller/internal/fsys"
+	"github.com/chestnuttiller/chestnuttiller/internal/fsys/fsystest"
+	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
 )
 
@@ -69,3 +83,349 @@
 		}
 	}
 }
+
+var (
+	diskSeeds = flag.Int("disk-seeds", 5, "seeds of TestDisksFullInTurn")
+	diskSeed  = flag.Uint64("disk-seed", 1, "first seed of TestDisksFullInTurn")
+)
+
+// ackLimit is the time within which a change has to be acknowledged while a quorum runs.
+const ackLimit = 5 * time.Second
+
+// diskKeys set small segments and frequent snapshots, so that a disk that is full for a moment refuses both.
+const diskKeys = "election_ticks = 20\ntick = 5ms\nheartbeat_ticks = 2\nretry = 20ms\ncall_timeout = 1s\nsegment_bytes = 131072\n" +
+	"max_proposal_bytes = 16384\nmax_unapplied_bytes = 65536\nmax_message_bytes = 4096\n" +
+	"snapshot_entries = 20\nretain_entries = 5\nmax_voters = 3\nreplace_after = 300ms\n"
+
+// snapshotEntries is snapshot_entries in diskKeys.
+const snapshotEntries = 20
+
+// disksRun is a group whose disks are full one after another. Its kernels are started and stopped under the lock mu.
+type disksRun struct {
+	*group
+	random  *rand.Rand
+	history *history
+	mu      sync.RWMutex
+	disks   map[model.VMName]*fsystest.Memory
+	steps   []string
+}
+
+func (r *disksRun) note(format string, args ...any) {
+	r.steps = append(r.steps, fmt.Sprintf(format, args...))
+}
+
+// Guards against a group that refuses changes, or leaves them unanswered, for good after the disks of its members were full one
+// after another, and against the loss of acknowledged entries when all machines lose power and one its disk.
+func TestDisksFullInTurn(t *testing.T) {
+	for i := range *diskSeeds {
+		seed := *diskSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			r := &disksRun{
+				group: newGroup(t, 4, diskKeys), random: rand.New(rand.NewPCG(seed, 1)), history: &history{chains: map[uint64]uint64{}},
+				disks: map[model.VMName]*fsystest.Memory{},
+			}
+			r.first, r.files = 3, map[model.VMName]fsys.FS{}
+			histories.Store(r.cluster, r.history)
+			t.Cleanup(func() {
+				if t.Failed() {
+					t.Logf("steps:\n%s\nstate: %s", strings.Join(r.steps, "\n"), r.describe())
+				}
+			})
+			r.run()
+		})
+	}
+}
+
+func (r *disksRun) describe() string {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	out := ""
+	for vm := range r.kernels {
+		out += fmt.Sprintf("\n%s %+v", vm, r.log(vm).Status())
+	}
+	return out
+}
+
+func (r *disksRun) run() {
+	r.t.Cleanup(func() { histories.Delete(r.cluster) })
+	for i, vm := range r.vms {
+		r.disks[vm] = fsystest.NewMemory()
+		if i < r.first {
+			s := r.settings(vm)
+			require.NoError(r.t, saveIdentity(r.disks[vm], controlFolder(s), identity{Cluster: s.Cluster, VM: vm, Replica: newReplicaID(), Initial: loadOptions(s).initial}))
+		}
+		r.startUntilDone(vm)
+	}
+	r.until("the group is complete", r.complete)
+	done := make(chan struct{})
+	var writers sync.WaitGroup
+	for range 2 {
+		writers.Go(func() { r.write(done) })
+	}
+	previous := model.VMName("")
+	for range 4 {
+		previous = r.turn(previous)
+	}
+	r.endFull(previous)
+	r.check("room on all disks")
+	close(done)
+	writers.Wait()
+	r.checkFiles()
+	r.losePower()
+	r.check("power loss")
+	r.checkFiles()
+}
+
+// until is like that of group, but evaluates the condition on the goroutine of the test.
+func (r *disksRun) until(description string, cond func() bool) {
+	for end := time.Now().Add(waitLimit); !cond(); time.Sleep(time.Millisecond) {
+		require.True(r.t, time.Now().Before(end), description)
+	}
+}
+
+// complete reports whether all VMs are members and at least three of them voters. A voter that is back between the promotion of
+// its replacement and its removal stays a voter.
+func (r *disksRun) complete() bool {
+	leader := r.leader()
+	voters := 0
+	members := r.log(leader).Status().Members
+	for _, member := range members {
+		if !member.Learner {
+			voters++
+		}
+	}
+	return len(members) == len(r.vms) && voters >= r.first
+}
+
+// offer proposes a change at each VM until one acknowledges it or the context ends.
+func (r *disksRun) offer(ctx context.Context, data []byte) error {
+	var err error
+	for ctx.Err() == nil {
+		for _, vm := range r.vms {
+			r.mu.RLock()
+			var l kernel.ControlLog
+			if r.kernels[vm] != nil {
+				l = r.log(vm)
+			}
+			r.mu.RUnlock()
+			if l == nil || l.Status().Role != roleLeader {
+				continue
+			}
+			attempt, cancel := context.WithTimeout(ctx, time.Second)
+			_, err = l.Propose(attempt, data)
+			cancel()
+			if err == nil {
+				return nil
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return fmt.Errorf("%w; last refusal: %v", ctx.Err(), err)
+}
+
+// write proposes changes until done is closed.
+func (r *disksRun) write(done chan struct{}) {
+	for i := 0; ; i++ {
+		select {
+		case <-done:
+			return
+		case <-time.After(3 * time.Millisecond):
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		_ = r.offer(ctx, make([]byte, 500+i*977%8000)) // Refusals are expected while disks are full.
+		cancel()
+	}
+}
+
+// turn makes the disk of one VM full for a while, after that of the previous one has room again.
+func (r *disksRun) turn(previous model.VMName) model.VMName {
+	vm := r.vms[r.random.IntN(len(r.vms))]
+	if r.random.IntN(2) == 0 {
+		vm = r.leader()
+	}
+	behind := r.random.IntN(3) == 0
+	if behind {
+		r.note("%s disconnected", vm)
+		networkOf(r.cluster).setDisconnected(vm, true)
+		r.pause(50, 500)
+	}
+	r.endFull(previous)
+	if r.random.IntN(2) == 0 {
+		r.pause(0, 300)
+	}
+	r.startFull(vm)
+	r.pause(0, 300)
+	if behind {
+		r.note("%s connected", vm)
+		networkOf(r.cluster).setDisconnected(vm, false)
+	}
+	r.pause(100, 700)
+	if r.random.IntN(3) == 0 {
+		r.restart(r.vms[r.random.IntN(len(r.vms))], vm)
+	}
+	r.pause(0, 300)
+	return vm
+}
+
+func (r *disksRun) pause(from, to int) {
+	time.Sleep(time.Duration(from+r.random.IntN(to-from)) * time.Millisecond)
+}
+
+func (r *disksRun) startFull(vm model.VMName) {
+	full := error(syscall.ENOSPC)
+	if r.random.IntN(3) == 0 {
+		full = syscall.EDQUOT
+	}
+	disk := r.disks[vm]
+	ops := []fsystest.Operation{fsystest.OpCreate, fsystest.OpWrite, fsystest.OpRename, fsystest.OpRemove}
+	if kind := r.random.IntN(len(ops) + 2); kind < len(ops) {
+		r.note("%s refuses %s: %v", vm, ops[kind], full)
+		disk.Refuse(ops[kind], full)
+	} else if kind == len(ops) {
+		r.note("%s refuses everything", vm)
+		for _, op := range ops {
+			disk.Refuse(op, full)
+		}
+	} else {
+		r.note("%s has no space", vm)
+		disk.SetCapacity(disk.Used())
+	}
+}
+
+func (r *disksRun) endFull(vm model.VMName) {
+	if vm == "" {
+		return
+	}
+	r.note("%s has room again", vm)
+	for _, op := range []fsystest.Operation{fsystest.OpCreate, fsystest.OpWrite, fsystest.OpRename, fsystest.OpRemove} {
+		r.disks[vm].Refuse(op, nil)
+	}
+	r.disks[vm].SetCapacity(0)
+}
+
+// restart stops or kills a process and starts it again, also while its disk is full.
+func (r *disksRun) restart(vm, full model.VMName) {
+	kill := r.random.IntN(2) == 0
+	r.note("restart of %s, killed %v, full is %s", vm, kill, full)
+	r.mu.Lock()
+	if kill {
+		r.disks[vm] = r.crashed(vm)
+	}
+	r.stop(vm)
+	r.mu.Unlock()
+	if vm == full {
+		if kill {
+			r.startFull(vm)
+		}
+		r.startOnce(vm)
+		r.pause(100, 300)
+		r.endFull(vm)
+	}
+	r.startUntilDone(vm)
+}
+
+// crashed returns the disk that a process finds after the loss of everything that is not synced.
+func (r *disksRun) crashed(vm model.VMName) *fsystest.Memory {
+	r.disks[vm].FailSyncs(syscall.EIO)
+	r.disks[vm].Refuse(fsystest.OpSyncFolder, syscall.EIO)
+	return r.disks[vm].Crash(r.random)
+}
+
+// startOnce starts a process like its supervisor does. Only a full disk may keep it from starting.
+func (r *disksRun) startOnce(vm model.VMName) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.kernels[vm] != nil {
+		return true
+	}
+	k, err := kernel.New(r.settings(vm))
+	require.NoError(r.t, err)
+	m, err := kernel.Lookup[*Module](k.Context())
+	require.NoError(r.t, err)
+	m.files = r.disks[vm]
+	if err := k.Start(context.Background()); err != nil {
+		r.note("%s does not start: %v", vm, err)
+		_ = k.Stop(context.Background()) // The start has failed.
+		require.Equal(r.t, errs.KindDiskFull, errs.KindOf(err), "%v", err)
+		return false
+	}
+	r.kernels[vm] = k
+	return true
+}
+
+func (r *disksRun) startUntilDone(vm model.VMName) {
+	r.until("the process starts", func() bool { return r.startOnce(vm) })
+}
+
+// losePower ends all processes at once, with what was not synced. The disk of one VM is lost in half of the runs.
+func (r *disksRun) losePower() {
+	for _, disk := range r.disks {
+		disk.FailSyncs(syscall.EIO)
+		disk.Refuse(fsystest.OpSyncFolder, syscall.EIO)
+	}
+	for _, vm := range r.vms {
+		r.disks[vm] = r.crashed(vm)
+	}
+	for _, vm := range r.vms {
+		r.stop(vm)
+	}
+	if r.random.IntN(2) == 0 {
+		vm := r.vms[r.random.IntN(len(r.vms))]
+		r.note("power loss, and %s loses its disk", vm)
+		r.disks[vm] = fsystest.NewMemory()
+	} else {
+		r.note("power loss")
+	}
+	for _, vm := range r.vms {
+		r.startUntilDone(vm)
+	}
+}
+
+// check requires that a change is acknowledged in time, that a read returns the newest state, and that all replicas catch up.
+func (r *disksRun) check(after string) {
+	r.note("check after %s", after)
+	before, _ := r.history.newest()
+	ctx, cancel := context.WithTimeout(context.Background(), ackLimit)
+	defer cancel()
+	require.NoError(r.t, r.offer(ctx, []byte("x")), "no change is acknowledged after %s", after)
+	r.until("a read returns the newest state after "+after, func() bool {
+		out, err := r.read(r.leader())
+		if err != nil {
+			return false
+		}
+		require.Greater(r.t, binary.BigEndian.Uint64(out), before, "an acknowledged entry is missing after %s", after)
+		return true
+	})
+	r.until("the group is complete after "+after, r.complete)
+	newest, diverged := r.history.newest()
+	require.False(r.t, diverged, "replicas differ after %s", after)
+	for _, vm := range r.vms {
+		r.until(string(vm)+" catches up after "+after, func() bool { return binary.BigEndian.Uint64([]byte(r.state(vm))) >= newest })
+	}
+}
+
+// checkFiles requires that no file of a refused write is left after the next snapshots.
+func (r *disksRun) checkFiles() {
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	for range 3 * snapshotEntries {
+		require.NoError(r.t, r.offer(ctx, []byte("x")))
+	}
+	for _, vm := range r.vms {
+		var names []string
+		r.t.Cleanup(func() { r.note("files of %s: %v", vm, names) })
+		r.until("the folders of "+string(vm)+" are clean", func() bool {
+			snaps, err := r.disks[vm].List(filepath.Join(r.folder, string(vm), "control", "snap"))
+			require.NoError(r.t, err)
+			segments, err := r.disks[vm].List(filepath.Join(r.folder, string(vm), "control", "wal"))
+			require.NoError(r.t, err)
+			names = slices.Concat(snaps, segments)
+			clean := len(snaps) <= 2 && !strings.Contains(strings.Join(snaps, " "), fsys.TemporarySuffix)
+			for _, name := range segments {
+				clean = clean && (name == "spare"+fsys.TemporarySuffix || !strings.HasSuffix(name, fsys.TemporarySuffix))
+			}
+			return clean
+		})
+	}
+}
--- a/internal/modules/controllog/fakes_test.go
+++ b/internal/modules/controllog/fakes_test.go
@@ -34,6 +34,47 @@
 type fakeMachine struct {
 	count, chain uint64
 	last         time.Time
+	// history is set in a cluster whose states are recorded.
+	history *history
+}
+
+// history holds the chain after each number of entries that a machine of a cluster has applied.
+type history struct {
+	mu       sync.Mutex
+	chains   map[uint64]uint64
+	count    uint64
+	diverged bool
+}
+
+// paddedSnapshotBytes is the size of a snapshot in a cluster whose states are recorded, which is several messages.
+const paddedSnapshotBytes = 20000
+
+var histories sync.Map // by cluster name
+
+func (h *history) record(count, chain uint64) {
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if c, ok := h.chains[count]; ok && c != chain {
+		h.diverged = true
+	}
+	h.chains[count], h.count = chain, max(h.count, count)
+}
+
+// newest returns the number of entries that were applied on any machine, and whether two machines differed.
+func (h *history) newest() (count uint64, diverged bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.count, h.diverged
+}
+
+func (f *fakeMachine) Provision(ctx *kernel.Context) error {
+	if h, ok := histories.Load(ctx.Settings.Cluster); ok {
+		f.history = h.(*history)
+	}
+	return nil
 }
 
 func (f *fakeMachine) Apply(index uint64, at time.Time, data []byte) []byte {
@@ -43,6 +84,7 @@
 	h := fnv.New64a()
 	fmt.Fprint(h, f.chain, index, at.UnixNano(), string(data))
 	f.count, f.chain, f.last = f.count+1, h.Sum64(), at
+	f.history.record(f.count, f.chain)
 	return f.Query(nil)
 }
 
@@ -51,15 +93,20 @@
 }
 
 func (f *fakeMachine) Snapshot() ([]byte, error) {
-	return binary.BigEndian.AppendUint64(f.Query(nil), uint64(f.last.UnixNano())), nil
+	data := binary.BigEndian.AppendUint64(f.Query(nil), uint64(f.last.UnixNano()))
+	if f.history != nil {
+		data = append(data, make([]byte, paddedSnapshotBytes-len(data))...)
+	}
+	return data, nil
 }
 
 func (f *fakeMachine) Restore(data []byte) error {
-	if len(data) != 24 {
+	if len(data) != 24 && (f.history == nil || len(data) != paddedSnapshotBytes) {
 		return fmt.Errorf("the state has %d bytes", len(data))
 	}
 	f.count, f.chain = binary.BigEndian.Uint64(data), binary.BigEndian.Uint64(data[8:])
 	f.last = time.Unix(0, int64(binary.BigEndian.Uint64(data[16:])))
+	f.history.record(f.count, f.chain)
 	return nil
 }
 
@@ -175,6 +222,8 @@
 	vms     []model.VMName
 	keys    string
 	kernels map[model.VMName]*kernel.Kernel
+	// first is the number of first members of the group; 0 means all VMs.
+	first int
 	// files replaces the disk of a VM if it is set.
 	files map[model.VMName]fsys.FS
 }
@@ -217,8 +266,10 @@
 
 func (g *group) names() string {
 	var names []string
-	for _, vm := range g.vms {
-		names = append(names, string(vm))
+	for i, vm := range g.vms {
+		if g.first == 0 || i < g.first {
+			names = append(names, string(vm))
+		}
 	}
 	return strings.Join(names, ", ")
 }
