--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -6,7 +6,11 @@
 	data  []byte
 }
 
-// NewSnapshot returns a snapshot at the applied index. Its data is the encoded state of the state machine.
+// Restoring reports whether a received snapshot is not durable yet. The state machine has a state then that is older than the log,
+// and no snapshot of it may be taken.
+func (n *Node) Restoring() bool { return n.restoring }
+
+// NewSnapshot returns a snapshot at the applied index. It must not be called while Restoring. Its data is the encoded state of the state machine.
 func (n *Node) NewSnapshot(data []byte) *Snapshot {
 	term, _ := n.log.term(n.applied)
 	at := n.log.offsetAt
--- a/internal/modules/controllog/disks_test.go
+++ b/internal/modules/controllog/disks_test.go
@@ -84,6 +84,51 @@
 	}
 }
 
+// Guards against a snapshot that is taken while a received one waits for space. It has the index of the state before and the members
+// after the received one, and its file stayed on the disk.
+func TestNoSnapshotWhileOneIsReceived(t *testing.T) {
+	g := newGroup(t, 3, steadyKeys+"snapshot_entries = 10\nretain_entries = 2\n")
+	disk := fsystest.NewMemory()
+	g.files = map[model.VMName]fsys.FS{"vm-2": disk}
+	s := g.settings("vm-2")
+	require.NoError(t, saveIdentity(disk, controlFolder(s), identity{Cluster: s.Cluster, VM: s.VM, Replica: newReplicaID(), Initial: loadOptions(s).initial}))
+	for _, vm := range g.vms {
+		if vm != "vm-2" {
+			require.NoError(t, Init(g.settings(vm)))
+		}
+		g.start(vm)
+	}
+	g.until("vm-2 does not lead", func() bool {
+		leader := g.leader()
+		if leader == "vm-2" {
+			require.NoError(t, g.kernels[leader].Drain(context.Background()))
+		}
+		return leader != "vm-2"
+	})
+	disk.Refuse(fsystest.OpRename, syscall.ENOSPC)
+	for range 15 {
+		g.propose("x")
+	}
+	g.until("vm-2 follows", func() bool { return g.state("vm-2") == g.state(g.leader()) })
+	networkOf(g.cluster).setDisconnected("vm-2", true)
+	for range 50 {
+		g.propose("x")
+	}
+	networkOf(g.cluster).setDisconnected("vm-2", false)
+	commit := g.log(g.leader()).Status().Commit
+	g.until("the snapshot is received", func() bool { return g.log("vm-2").Status().Commit >= commit-10 })
+	time.Sleep(100 * time.Millisecond) // Several intervals of [control] retry.
+	disk.Refuse(fsystest.OpRename, nil)
+	g.until("vm-2 catches up", func() bool { return g.state("vm-2") == g.state(g.leader()) })
+	for range 50 {
+		g.propose("x")
+	}
+	g.until("two snapshots are left", func() bool {
+		names, err := disk.List(filepath.Join(g.folder, "vm-2", "control", "snap"))
+		return err == nil && len(names) == 2
+	})
+}
+
 var (
 	diskSeeds = flag.Int("disk-seeds", 5, "seeds of TestDisksFullInTurn")
 	diskSeed  = flag.Uint64("disk-seed", 1, "first seed of TestDisksFullInTurn")
--- a/internal/modules/controllog/events.go
+++ b/internal/modules/controllog/events.go
@@ -242,7 +242,7 @@
 func (m *Module) maybeSnapshot() {
 	applied := m.node.Status().Applied
 	isDue := m.isSnapshotDue || applied >= m.lastSnapshotIndex+m.options.snapshotEntries || m.bytesSinceSnapshot >= m.options.snapshotBytes
-	if m.savingSnapshot || !isDue {
+	if m.savingSnapshot || !isDue || m.node.Restoring() {
 		return
 	}
 	m.lastSnapshotIndex, m.bytesSinceSnapshot, m.isSnapshotDue = applied, 0, false
