Log how long a process waited for a CPU while it shut down

A late end of a process beside other load could not be told from one that its own modules delayed. "process ends" gives the longest time that one thread was ready to run and had no CPU since the start of the shutdown, by the accounts of the operating system (Linux only; 0 elsewhere).

--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -120,10 +120,11 @@
 func shutDown(ctx context.Context, k *kernel.Kernel, limit time.Time, logger log.Logger, failure error) error {
 	ctx, cancel := context.WithDeadline(ctx, limit)
 	defer cancel()
+	waits := readCPUWaits(taskFolder)
 	if failure == nil {
 		failure = k.Drain(ctx)
 	}
-	_ = level.Info(logger).Log("msg", "process ends", "err", failure)
+	_ = level.Info(logger).Log("msg", "process ends", "cpu_wait_ms", readCPUWaits(taskFolder).longestSince(waits).Milliseconds(), "err", failure)
 	return errors.CombineErrors(failure, k.Stop(ctx))
 }
 
