--- a/internal/snap/snap.go
+++ b/internal/snap/snap.go
@@ -5,8 +5,10 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"hash/crc32"
+	"io/fs"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -35,21 +37,23 @@
 	fs      fsys.FS
 	folder  string
 	indexes []uint64
+	// refused are the indexes of snapshots that the disk refused and whose files may be left.
+	refused []uint64
 }
 
 // Open opens the folder, which is created when it is missing, and removes incomplete files.
-func Open(fs fsys.FS, folder string) (*Store, error) {
-	s := &Store{fs: fs, folder: folder}
-	if err := fs.MakeFolder(folder); err != nil {
+func Open(files fsys.FS, folder string) (*Store, error) {
+	s := &Store{fs: files, folder: folder}
+	if err := files.MakeFolder(folder); err != nil {
 		return nil, s.fail(err)
 	}
-	names, err := fs.List(folder)
+	names, err := files.List(folder)
 	if err != nil {
 		return nil, s.fail(err)
 	}
 	for _, name := range names {
 		if strings.HasSuffix(name, fsys.TemporarySuffix) {
-			if err := fs.Remove(filepath.Join(folder, name)); err != nil {
+			if err := files.Remove(filepath.Join(folder, name)); err != nil {
 				return nil, s.fail(err)
 			}
 			continue
@@ -75,22 +79,35 @@
 // left to the next Save. After an error of kind disk_full the earlier snapshots are as before and Save may be called again; any
 // other error is final.
 func (s *Store) Save(index uint64, data []byte) error {
+	s.removeRefused()
 	if err := fsys.WriteDurably(s.fs, s.path(index), encode(data)); err != nil {
-		if !slices.Contains(s.indexes, index) {
-			// The file is complete but its name is not durable. Save may not be called with the same index again.
-			_ = s.fs.Remove(s.path(index))
-		}
+		s.refused = append(s.refused, index)
+		s.removeRefused()
 		return s.fail(err)
 	}
 	if k := len(s.indexes); k == 0 || s.indexes[k-1] < index {
 		s.indexes = append(s.indexes, index)
 	}
+	s.removeRefused() // There may be room for removals only now.
 	if err := s.prune(); errs.KindOf(err) != errs.KindDiskFull {
 		return err
 	}
 	return nil
 }
 
+// removeRefused removes the files of snapshots that were refused: the temporary one, and the complete one if its name is not
+// durable. Those that a full disk keeps are removed the next time.
+func (s *Store) removeRefused() {
+	s.refused = slices.DeleteFunc(s.refused, func(index uint64) bool {
+		isGone := func(path string) bool {
+			err := s.fs.Remove(path)
+			return err == nil || errors.Is(err, fs.ErrNotExist)
+		}
+		temporaryGone := isGone(s.path(index) + fsys.TemporarySuffix)
+		return (slices.Contains(s.indexes, index) || isGone(s.path(index))) && temporaryGone
+	})
+}
+
 func (s *Store) prune() error {
 	for len(s.indexes) > keptSnapshots {
 		if err := s.removeOldest(); err != nil {
--- a/internal/snap/snap_test.go
+++ b/internal/snap/snap_test.go
@@ -70,21 +70,28 @@
 // Guards against files of refused snapshots that stay and keep the disk full: a disk that refuses a rename, a removal or the sync
 // of the folder left one more file behind with each attempt.
 func TestRefusedSnapshotsLeaveNoFiles(t *testing.T) {
-	for _, op := range []fsystest.Operation{fsystest.OpCreate, fsystest.OpWrite, fsystest.OpRename, fsystest.OpRemove, fsystest.OpSyncFolder} {
+	for _, ops := range [][]fsystest.Operation{
+		{fsystest.OpCreate}, {fsystest.OpWrite}, {fsystest.OpRename}, {fsystest.OpRemove}, {fsystest.OpSyncFolder},
+		{fsystest.OpWrite, fsystest.OpRemove}, {fsystest.OpRename, fsystest.OpRemove}, {fsystest.OpSyncFolder, fsystest.OpRemove},
+	} {
 		for _, full := range []error{syscall.ENOSPC, syscall.EDQUOT} {
 			fs := fsystest.NewMemory()
 			s := storeWith(t, fs, 5, 10)
-			fs.Refuse(op, full)
+			for _, op := range ops {
+				fs.Refuse(op, full)
+			}
 			for index := uint64(11); index < 15; index++ {
 				if err := s.Save(index, state(index)); err != nil {
-					require.Equal(t, errs.KindDiskFull, errs.KindOf(err), "%s: %v", op, full)
+					require.Equal(t, errs.KindDiskFull, errs.KindOf(err), "%v: %v", ops, full)
 				}
 			}
-			fs.Refuse(op, nil)
+			for _, op := range ops {
+				fs.Refuse(op, nil)
+			}
 			require.NoError(t, s.Save(20, state(20)))
 			names, err := fs.List("snap")
 			require.NoError(t, err)
-			require.Len(t, names, keptSnapshots, "%s: %v: %v", op, full, names)
+			require.Len(t, names, keptSnapshots, "%v: %v: %v", ops, full, names)
 			index, _, _, err := storeWith(t, fs.Crash(rand.New(rand.NewPCG(1, 1)))).Load()
 			require.NoError(t, err)
 			require.Equal(t, uint64(20), index)
