Test disks that refuse syncs in turn, and write up the disks that were full in turn

TestDisksFullInTurn also refuses syncs with ENOSPC and EDQUOT. A process whose sync of the log fails ends, as the design says; the test starts it again with what was synced, and the same has to hold.

--- a/internal/modules/controllog/disks_test.go
+++ b/internal/modules/controllog/disks_test.go
@@ -324,7 +324,10 @@
 	}
 	disk := r.disks[vm]
 	ops := []fsystest.Operation{fsystest.OpCreate, fsystest.OpWrite, fsystest.OpRename, fsystest.OpRemove}
-	if kind := r.random.IntN(len(ops) + 2); kind < len(ops) {
+	if kind := r.random.IntN(len(ops) + 3); kind == len(ops)+2 {
+		r.note("%s refuses syncs: %v", vm, full)
+		disk.FailSyncs(full)
+	} else if kind < len(ops) {
 		r.note("%s refuses %s: %v", vm, ops[kind], full)
 		disk.Refuse(ops[kind], full)
 	} else if kind == len(ops) {
@@ -347,6 +350,31 @@
 		r.disks[vm].Refuse(op, nil)
 	}
 	r.disks[vm].SetCapacity(0)
+	r.disks[vm].FailSyncs(nil)
+	r.restartFailed()
+}
+
+// restartFailed starts the processes again that ended because a sync failed, like their supervisor does.
+func (r *disksRun) restartFailed() {
+	for _, vm := range r.vms {
+		r.mu.Lock()
+		failed := false
+		if k := r.kernels[vm]; k != nil {
+			select {
+			case err := <-k.Failed():
+				require.Equal(r.t, errs.KindDiskFull, errs.KindOf(err), "%s ended: %v", vm, err)
+				r.note("%s ended: %v", vm, err)
+				failed = true
+				r.disks[vm] = r.crashed(vm)
+				r.stop(vm)
+			default:
+			}
+		}
+		r.mu.Unlock()
+		if failed {
+			r.startUntilDone(vm)
+		}
+	}
 }
 
 // restart stops or kills a process and starts it again, also while its disk is full.
