Let a replica with a full disk support no leader that was replaced

A leader that a quorum had replaced stayed leader, and held the proposals and joins that reached it until they timed out, while it could only reach replicas with full disks. Those knew its successor but could not store the term, so the answer that ends its leadership waited for the disk, and their contact answers kept its quorum.

The contact answer to a heartbeat of an earlier term is now sent only while the replica knows no leader of its own term, as the target of a transfer does. The former leader then loses its quorum after an election timeout, as before that answer existed. No read could be confirmed in either case.

TestFullDiskDoesNotSupportADeposedLeader: before the change the replica answered the former leader in that leader's term.

--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -375,3 +375,33 @@
 		require.True(t, s.leader().node.isVoter(full.id))
 	}
 }
+
+// Guards against a leader that stays leader although a quorum has elected another one, because replicas that know the other one and
+// have full disks answer its heartbeats.
+func TestFullDiskDoesNotSupportADeposedLeader(t *testing.T) {
+	s := healthy(t, 5)
+	s.until("all are idle", s.converged)
+	s.network = nil
+	old := s.leader()
+	var full, next *simReplica
+	for _, r := range s.replicas {
+		switch {
+		case r == old:
+		case full == nil:
+			full = r
+		default:
+			next = r
+		}
+	}
+	term := old.node.term
+	full.node.SetDiskFull(true)
+	heartbeat := func(from *simReplica, term uint64) (answers []Message) {
+		full.node.Step(Message{Kind: MsgHeartbeat, From: from.id, To: full.id, Term: term})
+		s.flush(full) // No write completes.
+		answers, s.network = s.network, nil
+		return answers
+	}
+	require.Len(t, heartbeat(next, term+1), 1)
+	require.Equal(t, next.id, full.node.leader)
+	require.Empty(t, heartbeat(old, term))
+}
--- a/internal/consensus/step.go
+++ b/internal/consensus/step.go
@@ -50,8 +50,8 @@
 func (n *Node) answerOldTerm(m Message) {
 	switch m.Kind {
 	case MsgAppend, MsgHeartbeat, MsgSnapshotChunk:
-		if m.Kind == MsgHeartbeat {
-			n.sendContact(m)
+		if m.Kind == MsgHeartbeat && n.leader == "" {
+			n.sendContact(m) // A leader that is known to be replaced has to lose its quorum.
 		}
 		n.sendAfterSync(Message{Kind: MsgHeartbeatResp, To: m.From})
 	case MsgPreVote:
