Leave time to the other modules beside a caller that reads slowly

One caller that read its last answer slowly held the drain of its listener until the end of [shutdown] drain_limit, or for 10 s. The modules that are drained after it got a context that had ended: a control VM did not transfer leadership, and an entry VM did not release its seat.

The drain now waits for half of the time that is left at most. The connections stay open until Stop, while the other modules drain, and the operating system sends the rest of an answer after that.

--- a/internal/httpserver/close_test.go
+++ b/internal/httpserver/close_test.go
@@ -220,3 +220,24 @@
 	require.Len(t, body, answerSize)
 	require.NoError(t, <-drained)
 }
+
+// Guards against a caller that reads its answer slowly and uses up the time in which the other modules of its VM drain.
+func TestSlowReaderLeavesTimeAfterADrain(t *testing.T) {
+	const limit = 4 * time.Second
+	s := start(t, replyLarge, patient)
+	c := dial(t, s)
+	require.NoError(t, c.Conn.(*net.TCPConn).SetReadBuffer(16<<10))
+	c.send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	require.Eventually(t, func() bool { return s.answered.Load() == 1 }, long, time.Millisecond)
+	go func() {
+		for piece := make([]byte, 8<<10); ; time.Sleep(50 * time.Millisecond) {
+			if _, err := c.Read(piece); err != nil {
+				return // The test has ended.
+			}
+		}
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	require.NoError(t, s.Drain(ctx, 0))
+	require.NoError(t, ctx.Err())
+}
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -175,9 +175,10 @@
 
 // Drain accepts new connections during the delay, because callers notice the drain late, and then closes each connection as soon as
 // it has no request. Responses close their connections from the start of the drain, and the drain waits until the callers have
-// closed them or lingerTime has passed since the last progress of an answer. Shortly before the end of the context, the
-// contexts of all requests end with a cause of kind shutdown, so that their handlers answer while there is time. Those of requests
-// that begin during the drain have this time as their deadline.
+// closed them or lingerTime has passed since the last progress of an answer, but no longer than lingerShare of the time left; what
+// is open then stays open until Stop. Shortly before the end of the context, the contexts of all requests end with a cause of kind
+// shutdown, so that their handlers answer while there is time. Those of requests that begin during the drain have this time as their
+// deadline.
 func (s *Server) Drain(ctx context.Context, delay time.Duration) error {
 	s.draining.Store(true)
 	if end, ok := ctx.Deadline(); ok {
@@ -205,8 +206,13 @@
 		return g.server.Shutdown(ctx)
 	})
 	drained := time.Now()
+	waitCtx, cancel := ctx, func() {}
+	if end, ok := ctx.Deadline(); ok {
+		waitCtx, cancel = context.WithTimeout(ctx, time.Duration(lingerShare*float64(time.Until(end))))
+	}
+	defer cancel()
 	_ = s.closeAll(func(g *generation) error { // The listener is closed, so no error can occur.
-		g.conns.lingering.wait(ctx)
+		g.conns.lingering.wait(waitCtx)
 		return nil
 	})
 	_ = level.Info(s.logger).Log("msg", "HTTP listener has drained", "address", s.address, "answered", s.answered.Load()-answered,
--- a/internal/httpserver/linger.go
+++ b/internal/httpserver/linger.go
@@ -14,6 +14,9 @@
 	lingerTime = time.Second
 	// lingerLimit bounds the whole wait, for callers that read very slowly.
 	lingerLimit = 10 * time.Second
+	// lingerShare is the part of the time left to a drain for which it waits for such connections. The modules that are drained
+	// later need the rest.
+	lingerShare = 0.5
 	// lingerCheck is how often the progress is looked at.
 	lingerCheck = 100 * time.Millisecond
 	// lingerBuffer is how many bytes of a caller are read and discarded at once.
