Wake waiting requests also after an attempt that was not sent

A request that waited for a connection to a leaf could go on waiting although one could be opened, as in, on two paths that were left: an attempt that is cancelled while its connection is opened, and one that gets an idle connection which its leaf closes at that moment. Both reported their result, which wakes one waiting request, while the connection still counted, and nothing reported anything once it did not.

Both now close the connection and report once the reading goroutine has taken it out of the count.

TestEndedConnectionIsNotCountedWhenAnUnsentAttemptIsReported failed on the earlier code: 0 available connections instead of 1.

--- a/internal/modules/leafpool/conn.go
+++ b/internal/modules/leafpool/conn.go
@@ -63,6 +63,8 @@
 	// memory charges the bytes of the current reply to the memory for replies. reader reads through it.
 	memory *readlimit.Reader
 	reader *bufio.Reader
+	// uncounted is closed once the connection has ended and is not counted any more.
+	uncounted chan struct{}
 	// usableUntil is the time from which the idle connection is not used again: idleMargin before the leaf may close it, or
 	// surplusIdleTimeout after its last use if the leaf is not preferred. It is zero when neither applies.
 	usableUntil time.Time
@@ -87,7 +89,7 @@
 
 func newConn(p *pool, n net.Conn) *conn {
 	memory := p.module.replyMemory.NewReader(n)
-	return &conn{pool: p, net: n, memory: memory, reader: bufio.NewReaderSize(memory, readBufferBytes)}
+	return &conn{pool: p, net: n, memory: memory, reader: bufio.NewReaderSize(memory, readBufferBytes), uncounted: make(chan struct{})}
 }
 
 // start writes the request of an attempt. A request of more than maxInlineBytes is written on its own goroutine, so that
@@ -99,8 +101,7 @@
 	a.conn = c
 	a.mu.Unlock()
 	if cancelled {
-		a.finish(nil, errs.New(errs.KindUnavailable, "no action is needed", "the attempt was cancelled before it was sent"), false)
-		_ = c.net.Close() // The reading goroutine reports the result.
+		c.finishUnsent(a, errs.New(errs.KindUnavailable, "no action is needed", "the attempt was cancelled before it was sent"))
 		return
 	}
 	a.req.TimeLeft = a.req.Until.Sub(m.now())
@@ -112,7 +113,7 @@
 	}
 	c.mu.Unlock()
 	if ended {
-		a.finish(nil, errs.New(errs.KindUnavailable, "send the request to another leaf", "leaf %s closed the connection before the request was sent", c.pool.leaf.ID), false)
+		c.finishUnsent(a, errs.New(errs.KindUnavailable, "send the request to another leaf", "leaf %s closed the connection before the request was sent", c.pool.leaf.ID))
 		return
 	}
 	if c.net.SetDeadline(a.req.Until.Add(replyGrace)) != nil {
@@ -127,6 +128,15 @@
 	c.write(data)
 }
 
+// finishUnsent closes the connection and reports that an attempt was not sent on it, once the connection is not counted any more.
+func (c *conn) finishUnsent(a *attempt, err error) {
+	_ = c.net.Close() // It may have ended already.
+	go func() {
+		<-c.uncounted
+		a.finish(nil, err, false)
+	}()
+}
+
 func (c *conn) write(data []byte) {
 	if _, err := c.net.Write(data); err != nil {
 		// The reading goroutine reports the failure, unless a reply arrived before it.
@@ -145,6 +155,7 @@
 	_ = c.net.Close()
 	c.memory.Release()
 	c.pool.closed(c)
+	close(c.uncounted)
 	reportLast()
 }
 
--- a/internal/modules/leafpool/leafpool_test.go
+++ b/internal/modules/leafpool/leafpool_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -402,3 +403,33 @@
 	cancel()
 	require.Equal(t, 1, <-available, "cancelled")
 }
+
+// Guards against a request that waits for a connection, is woken by an attempt that was not sent on a connection that still counts, and
+// then waits although a connection can be opened.
+func TestEndedConnectionIsNotCountedWhenAnUnsentAttemptIsReported(t *testing.T) {
+	for name, prepare := range map[string]func(*conn, *attempt){
+		"cancelled":          func(_ *conn, a *attempt) { a.cancelled = true },
+		"closed by the leaf": func(c *conn, _ *attempt) { c.fail(io.EOF)() },
+	} {
+		l, _ := startLeaf(t, echo)
+		m := newModule(t, l, 1)
+		n, err := m.connect(context.Background(), l)
+		require.NoError(t, err)
+		m.mu.Lock()
+		p := m.poolOf(l)
+		p.open++
+		m.mu.Unlock()
+		c := newConn(p, n)
+		available := make(chan int, 1)
+		req := &forward.LeafRequest{Request: &forward.Request{ID: "a"}, Until: time.Now().Add(5 * time.Second)}
+		a := &attempt{module: m, req: req, started: time.Now(), done: func(r forward.AttemptResult) {
+			require.False(t, r.Sent)
+			available <- m.AvailableConnections(l)
+		}}
+		prepare(c, a)
+		c.start(a)
+		_ = n.Close() // It may be closed already.
+		c.read()
+		require.Equal(t, 1, <-available, name)
+	}
+}
