--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -223,6 +223,10 @@
 		return sends, due
 	}
 	leaf := r.env.Choose(now, p.service, p.tried)
+	if leaf == nil && !r.env.HasUntried(now, p.service, p.tried) {
+		pending.hedged = true // All leaves of the service have the request.
+		return sends, r.deadline
+	}
 	if leaf == nil {
 		// The other leaves are busy. This one may stay silent for longer than they are, but trying often would only add load.
 		pending.hedgeAt = now.Add(r.hedgeRetry)
