--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -64,7 +64,11 @@
 		}
 		logger := started.kernel.Context().Logger("process")
 		_ = level.Info(logger).Log("msg", "process is draining; the signal arrived while it started", "signal", sig, "limit", s.DrainLimit, "err", started.err)
-		return shutDown(ctx, started.kernel, limit, logger, nil)
+		failure := started.err
+		if errors.Is(failure, context.Canceled) {
+			failure = nil // The signal has ended the start.
+		}
+		return shutDown(ctx, started.kernel, limit, logger, failure)
 	}
 	if started.kernel == nil {
 		return started.err
