--- a/internal/modules/controllog/module_test.go
+++ b/internal/modules/controllog/module_test.go
@@ -385,8 +385,17 @@
 	for full := false; !full; {
 		id++
 		d.enqueue(write(id))
-		if ev := <-events; ev != (persistedEvent{id}) {
-			t.Fatalf("unexpected event %#v", ev)
+		for persisted := false; !persisted; {
+			switch ev := (<-events).(type) {
+			case persistedEvent:
+				require.Equal(t, persistedEvent{id}, ev)
+				persisted = true
+			case diskFullEvent:
+				require.Error(t, ev.err)
+				full = true
+			default:
+				t.Fatalf("unexpected event %#v", ev)
+			}
 		}
 		if id == 10 {
 			d.enqueue(snapshotTask{&consensus.Snapshot{Index: 10, Term: 1}})
