--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -216,7 +216,7 @@
 	n.sendAfterSync(r)
 }
 
-// sendContact tells a leader that this replica runs, although its full disk cannot store the term. The answer confirms no
+// sendContact informs a leader that this replica runs, although its full disk cannot store the term. The answer confirms no
 // round, since the replica may forget the term in a crash. It has the leader's term, so that it does not end its leadership.
 func (n *Node) sendContact(m Message) {
 	if n.diskFull && n.persistedTerm != n.term {
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -10,7 +10,8 @@
 // and no snapshot of it may be taken.
 func (n *Node) Restoring() bool { return n.restoring }
 
-// NewSnapshot returns a snapshot at the applied index. It must not be called while Restoring. Its data is the encoded state of the state machine.
+// NewSnapshot returns a snapshot at the applied index. Its data is the encoded state of the state machine. It must not be called
+// while Restoring.
 func (n *Node) NewSnapshot(data []byte) *Snapshot {
 	term, _ := n.log.term(n.applied)
 	at := n.log.offsetAt
--- a/internal/forward/latency.go
+++ b/internal/forward/latency.go
@@ -12,7 +12,7 @@
 // SeenLatency is what a VM has seen of the latency of attempts on a route lately. All values are 0 while it has seen none.
 type SeenLatency struct {
 	Median time.Duration
-	// High is a latency that few attempts exceed. It is 0 while there are too few attempts to tell.
+	// High is a latency that few attempts exceed. It is 0 while too few attempts are known.
 	High    time.Duration
 	Highest time.Duration
 }
--- a/internal/httpserver/socket_linux.go
+++ b/internal/httpserver/socket_linux.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		return 0 // The connection has been closed.
 	}
-	_ = raw.Control(func(fd uintptr) { // As above.
+	_ = raw.Control(func(fd uintptr) { // It fails if the connection has been closed.
 		if n, err = unix.IoctlGetInt(int(fd), request); err != nil {
 			n = 0
 		}
--- a/internal/kernel/module.go
+++ b/internal/kernel/module.go
@@ -31,7 +31,7 @@
 
 // Drainer is implemented by modules that finish work in flight before they stop. Drain runs in the reverse of
 // the dependency order, so a module is drained before the modules that it needs. A Drain that does not return soon after its
-// context has ended is left behind, and Stop may be called while it runs.
+// context has ended is abandoned, and Stop may be called while it runs.
 type Drainer interface{ Drain(context.Context) error }
 
 // Reloader is implemented by modules that apply changed settings while they run.
@@ -40,7 +40,7 @@
 }
 
 // Stopper is implemented by modules that hold resources. Stop runs in the reverse of the dependency order. One that does not
-// return soon after its context has ended is left behind, so nothing that was acknowledged may depend on it.
+// return soon after its context has ended is abandoned, so nothing that was acknowledged may depend on it.
 type Stopper interface{ Stop(context.Context) error }
 
 // ModuleInfo describes a module to the registry.
--- a/internal/kernel/shutdown.go
+++ b/internal/kernel/shutdown.go
@@ -35,7 +35,7 @@
 	// limit is the end of the whole shutdown, if it is limited.
 	limit   time.Time
 	limited bool
-	// abandoned names the modules that were left behind. err combines the errors of all modules.
+	// abandoned names the modules that did not return in time. err combines the errors of all modules.
 	abandoned []string
 	err       error
 }
@@ -46,8 +46,8 @@
 	return s
 }
 
-// run drains or stops one module, and logs it if it was slow or failed. At returnBy, unless that is zero, it leaves the
-// module behind.
+// run drains or stops one module, and logs it if it was slow or failed. At returnBy, unless that is zero, it abandons the
+// module.
 func (s *shutdownStage) run(ctx context.Context, returnBy time.Time, msg, module string, step func(context.Context) error) {
 	started := s.now()
 	var overdue <-chan time.Time
@@ -62,7 +62,7 @@
 	select {
 	case err = <-done:
 	case <-overdue:
-		err = errs.New(errs.KindDeadline, "look for the module in the log, and raise [shutdown] drain_limit if it needs more time", "it did not end in time and was left behind")
+		err = errs.New(errs.KindDeadline, "look for the module in the log, and raise [shutdown] drain_limit if it needs more time", "it did not end in time and was abandoned")
 		s.abandoned = append(s.abandoned, module)
 	}
 	if took := s.now().Sub(started); took >= slowStep || err != nil {
@@ -84,15 +84,14 @@
 func (s *shutdownStage) logEnd(msg string) {
 	keyvals := []any{"took_ms", s.now().Sub(s.started).Milliseconds(), "err", s.err}
 	if len(s.abandoned) > 0 {
-		keyvals = append(keyvals, "left_behind", strings.Join(s.abandoned, ", "))
+		keyvals = append(keyvals, "abandoned", strings.Join(s.abandoned, ", "))
 	}
 	s.log(msg, keyvals...)
 }
 
 // Drain makes the process not ready and lets modules finish their work in the reverse of the dependency order, so that
 // each is drained before the modules that it needs. It leaves a part of the time until the deadline of the context to Stop.
-// A module that does not return then is named in the error and left behind, and the modules after it are still told to
-// drain.
+// A module that does not return then is named in the error and abandoned, and the modules after it still drain.
 func (k *Kernel) Drain(ctx context.Context) error {
 	k.ctx.Readiness.Set("drain", "the process is shutting down")
 	stage := k.newStage(ctx)
@@ -120,7 +119,7 @@
 // all others. It skips modules that Start has not reached.
 //
 // The context of each step ends after a quarter of the time that is left until the deadline of the context. A module that
-// does not return within half of that time is named in the error and left behind: the end of the process stops it. That is no
+// does not return within half of that time is named in the error and abandoned: the end of the process stops it. That is no
 // worse than a crash, since all that has been acknowledged was synced before. Without a deadline, Stop waits for all modules.
 func (k *Kernel) Stop(ctx context.Context) error {
 	stage := k.newStage(ctx)
--- a/internal/modules/controllog/events.go
+++ b/internal/modules/controllog/events.go
@@ -113,7 +113,7 @@
 const rejoinTimeouts = 4
 
 // needsRejoin reports whether the replica has no leader and may not be a member. The change that added a learner may have been
-// rolled back; a voter may have been replaced, which nobody tells it, and the members ignore its elections. The leader
+// rolled back; a voter may have been replaced, which it is not informed of, and the members ignore its elections. The leader
 // changes nothing for a replica that is a member.
 func (m *Module) needsRejoin() bool {
 	s := m.node.Status()
