--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -231,7 +231,7 @@
 	// changed gets a value after a connection has become idle or was closed.
 	changed chan struct{}
 	counts  *closeCounts
-	// lingering holds connections that are being closed, also after net/http has forgotten them.
+	// lingering holds connections that are being closed, also after net/http has closed them.
 	lingering *lingerSet
 }
 
