Release the lock of TestDisksFullInTurn when one of its checks fails

A check that failed while the test held its lock left the test waiting for it in its own cleanup, without a result. The checks are unchanged.

--- a/internal/modules/controllog/disks_test.go
+++ b/internal/modules/controllog/disks_test.go
@@ -357,36 +357,47 @@
 // restartFailed starts the processes again that ended because a sync failed, like their supervisor does.
 func (r *disksRun) restartFailed() {
 	for _, vm := range r.vms {
-		r.mu.Lock()
-		failed := false
-		if k := r.kernels[vm]; k != nil {
-			select {
-			case err := <-k.Failed():
-				require.Equal(r.t, errs.KindDiskFull, errs.KindOf(err), "%s ended: %v", vm, err)
-				r.note("%s ended: %v", vm, err)
-				failed = true
-				r.disks[vm] = r.crashed(vm)
-				r.stop(vm)
-			default:
-			}
-		}
-		r.mu.Unlock()
-		if failed {
+		if r.stopFailed(vm) {
 			r.startUntilDone(vm)
 		}
 	}
 }
 
-// restart stops or kills a process and starts it again, also while its disk is full.
-func (r *disksRun) restart(vm, full model.VMName) {
-	kill := r.random.IntN(2) == 0
-	r.note("restart of %s, killed %v, full is %s", vm, kill, full)
+// stopFailed stops a process that has failed, and reports whether it has. Only a full disk may make it fail.
+func (r *disksRun) stopFailed(vm model.VMName) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := r.kernels[vm]
+	if k == nil {
+		return false
+	}
+	select {
+	case err := <-k.Failed():
+		require.Equal(r.t, errs.KindDiskFull, errs.KindOf(err), "%s ended: %v", vm, err)
+		r.note("%s ended: %v", vm, err)
+		r.disks[vm] = r.crashed(vm)
+		r.stop(vm)
+		return true
+	default:
+		return false
+	}
+}
+
+// end stops or kills a process.
+func (r *disksRun) end(vm model.VMName, kill bool) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	if kill {
 		r.disks[vm] = r.crashed(vm)
 	}
 	r.stop(vm)
-	r.mu.Unlock()
+}
+
+// restart stops or kills a process and starts it again, also while its disk is full.
+func (r *disksRun) restart(vm, full model.VMName) {
+	kill := r.random.IntN(2) == 0
+	r.note("restart of %s, killed %v, full is %s", vm, kill, full)
+	r.end(vm, kill)
 	if vm == full {
 		if kill {
 			r.startFull(vm)
