Wait for space with the identity of a control VM that joins a group

A control VM whose disk was full when it was added to its group, for example after it had lost its disk or was replaced, ended with "cannot write the identity", and a start with a full disk reported an internal error. Cause: the identity is written before the first records of the log, and only these waited for space. Change: the write of the identity waits as they do; its error has the kind disk_full, as that of the log. TestFullDiskDelaysTheFirstRecords failed before (the process ended) and passes now.

--- a/internal/modules/controllog/disk.go
+++ b/internal/modules/controllog/disk.go
@@ -148,7 +148,7 @@
 	case snapshotTask:
 		return d.saveLocalSnapshot(x.snapshot)
 	case storeGroupTask:
-		if err := d.storage.createLog(x.identity, x.stored); err != nil {
+		if err := d.storage.createLog(x.identity, x.stored, d.waitForSpace); err != nil {
 			return err
 		}
 		x.identity.LogCreated = true
--- a/internal/modules/controllog/disks_test.go
+++ b/internal/modules/controllog/disks_test.go
@@ -129,6 +129,24 @@
 	})
 }
 
+// Guards against a control VM that ends because its disk is full at the moment when it joins a group.
+func TestFullDiskDelaysTheFirstRecords(t *testing.T) {
+	for _, full := range []error{syscall.ENOSPC, syscall.EDQUOT} {
+		d, fs, events, failures := testDisk(t)
+		fs.Refuse(fsystest.OpCreate, full)
+		d.enqueue(storeGroupTask{d.storage.identity, consensus.Stored{}})
+		require.ErrorIs(t, (<-events).(diskFullEvent).err, full)
+		fs.Refuse(fsystest.OpCreate, nil)
+		select {
+		case ev := <-events:
+			require.True(t, ev.(groupStoredEvent).identity.LogCreated)
+		case <-time.After(waitLimit):
+			t.Fatal("the group is not stored")
+		}
+		require.Empty(t, failures)
+	}
+}
+
 var (
 	diskSeeds = flag.Int("disk-seeds", 5, "seeds of TestDisksFullInTurn")
 	diskSeed  = flag.Uint64("disk-seed", 1, "first seed of TestDisksFullInTurn")
--- a/internal/modules/controllog/identity.go
+++ b/internal/modules/controllog/identity.go
@@ -17,6 +17,7 @@
 	"github.com/chestnuttiller/chestnuttiller/internal/inifile"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
 	"github.com/chestnuttiller/chestnuttiller/internal/settings"
+	"github.com/chestnuttiller/chestnuttiller/internal/wal"
 )
 
 const identityName = "identity.ini"
@@ -101,7 +102,7 @@
 	if err == nil {
 		err = fsys.WriteDurably(files, filepath.Join(folder, identityName), []byte(b.String()))
 	}
-	return errs.Wrap(err, errs.KindInternal, "check the data folder", "cannot write the identity in %s", folder)
+	return errs.Wrap(err, wal.KindOf(err), "check the data folder", "cannot write the identity in %s", folder)
 }
 
 func loadIdentity(files fsys.FS, folder string) (id identity, found bool, err error) {
--- a/internal/modules/controllog/storage.go
+++ b/internal/modules/controllog/storage.go
@@ -212,10 +212,18 @@
 }
 
 // createLog makes the membership of a group durable: first the identity, so that a crash cannot leave a log without a
-// group, then the first records.
-func (st *storage) createLog(id identity, stored consensus.Stored) error {
+// group, then the first records. While the disk is full, waitForSpace waits and returns whether a write is to be retried.
+func (st *storage) createLog(id identity, stored consensus.Stored, waitForSpace func(error) bool) error {
+	save := func() error {
+		for {
+			err := saveIdentity(st.fs, st.folder, id)
+			if errs.KindOf(err) != errs.KindDiskFull || !waitForSpace(err) {
+				return err
+			}
+		}
+	}
 	id.LogCreated = false
-	if err := saveIdentity(st.fs, st.folder, id); err != nil {
+	if err := save(); err != nil {
 		return err
 	}
 	records := entryRecords(stored.Entries)
@@ -227,7 +235,7 @@
 		return err
 	}
 	id.LogCreated = true
-	return saveIdentity(st.fs, st.folder, id)
+	return save()
 }
 
 func entryRecords(entries []consensus.Entry) []wal.Record {
