--- a/internal/cli/cpuwait_test.go
+++ b/internal/cli/cpuwait_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against a late end of a process that cannot be told from one that got no CPU.
+// Guards against a late end of a process that cannot be distinguished from one that got no CPU.
 func TestLongestWaitForACPUIsRead(t *testing.T) {
 	folder := t.TempDir()
 	write := func(thread, text string) {
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -217,7 +217,7 @@
 }
 
 // sendContact informs a leader that this replica runs, although its full disk cannot store the term. The answer confirms no
-// round, since the replica may forget the term in a crash. It has the leader's term, so that it does not end its leadership.
+// round, since the term may be lost in a crash. It has the leader's term, so that it does not end its leadership.
 func (n *Node) sendContact(m Message) {
 	if n.diskFull && n.persistedTerm != n.term {
 		n.send(Message{Kind: MsgHeartbeatResp, To: m.From, Term: m.Term})
--- a/internal/forward/latency.go
+++ b/internal/forward/latency.go
@@ -29,7 +29,7 @@
 
 // expectedLatency returns the time within which a request on a route is expected to be answered.
 //
-// A request that may run only once needs the high latency of the route, since its caller cannot tell after a timeout whether it has
+// A request that may run only once needs the high latency of the route, since its caller does not know after a timeout whether it has
 // run. While that is not known, it needs the highest latency and no less than the objective. A repeatable request is sent to
 // another leaf well before the objective if its leaf is slow, so it needs no more than the objective unless most attempts do. Once
 // it was sent, more attempts cannot make its answer worse and need only the median. sent reports whether it was.
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -15,7 +15,7 @@
 // just chosen this VM.
 const firstRequestTime = time.Second
 
-// requestState says how far the request of a connection is.
+// requestState is the stage of the request on a connection.
 type requestState string
 
 const (
--- a/internal/kernel/shutdown_test.go
+++ b/internal/kernel/shutdown_test.go
@@ -201,7 +201,7 @@
 	return nil
 }
 
-// Guards against a process that opens its listeners after it was told to end.
+// Guards against a process that opens its listeners after it has received a signal to end.
 func TestNoModuleStartsAfterTheContextHasEnded(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	late := false
