Keep no connection for empty lines in a drain

A caller that sent an empty line after the body of a request held the drain of its VM to drain_limit, if it kept its connection: the process ended late, and the requests of other callers that ran on were ended then. The same held for the rest of a body that is longer than stated and for a TLS greeting. If net/http had read the bytes with the request or while it was handled, the log had no line for the connection; otherwise it was logged as cut off with a request.

Any byte after a response counted as the beginning of a request, and bytes that net/http holds did so whatever they are.

RFC 9112 begins a request with its method, and has a server ignore empty lines before it (sections 2.2 and 3). So a request now begins with the first byte that a method can contain. For bytes that net/http holds, the size of its first read after a response shows how many they are, and the connection keeps the last four bytes that it has read and how many CR and LF are at their end. If net/http begins to read the header without a read before, a request is assumed until the next read shows that all held bytes are empty lines. The state "reading" follows the same decision, so that the log names the connections with a request and no others. Four bytes or more that came with a request, are no empty lines and have no line end still count as a request; net/http answers 400 to them, or closes the connection after the header's limit.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -38,15 +39,19 @@
 type conn struct {
 	net.Conn
 	mu sync.Mutex
-	// hasRequest is set once a byte of a request was read that has no response. net/http may have read a part of the next request
-	// with the last one, so after a response it stays set until net/http needs more bytes.
+	// hasRequest is set from the first byte of a request that was read to the end of its response. net/http may have read this byte
+	// with the request before it, so after a response it stays set until checkHeld has looked at what net/http holds.
 	hasRequest bool
-	// hasResponded is set from the end of a response to the next read or request. hasIdleDeadline is set if net/http has set the
-	// deadline for the beginning of that request.
-	hasResponded, hasIdleDeadline bool
-	closed                        bool
+	stage      readStage
+	// isChecked is set once checkHeld has set hasRequest. isMalformed is set once bytes were read with which no request begins.
+	isChecked, isMalformed bool
+	// hasIdleDeadline is set if net/http has set the deadline for the beginning of the next request.
+	hasIdleDeadline bool
+	closed          bool
 	// bufferSize is how many bytes net/http reads at most while it holds none.
 	bufferSize int
+	// recent holds the last bytes that were read.
+	recent recentBytes
 	// idleSince is when the connection was accepted or the last response ended. isNew is set until the first
 	// response has ended.
 	idleSince time.Time
@@ -78,18 +83,14 @@
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.callerEnded = true
 	}
-	if n == 0 {
-		return n, err
-	}
-	c.hasRequest = true
-	if c.state == requestNone {
-		c.state, c.requestSince = requestReading, time.Now()
+	c.recent.add(p[:n])
+	if c.stage != stageMessage && !c.hasRequest {
+		c.addBytes(p[:n])
 	}
 	return n, err
 }
 
-// beginRead makes the connection idle if net/http holds nothing of a request after the last response. It holds something if it asks
-// for fewer bytes than its buffer can take.
+// beginRead makes the connection idle if net/http holds nothing of a request after the last response.
 func (c *conn) beginRead(size int) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -99,15 +100,46 @@
 	if c.bufferSize == 0 {
 		c.bufferSize = size // This is the first read.
 	}
-	if c.hasResponded {
-		c.hasResponded, c.hasRequest = false, size < c.bufferSize
-		if !c.hasRequest {
-			c.set.signal()
-		}
+	if c.stage != stageMessage && !c.isChecked {
+		c.checkHeld(c.bufferSize - size)
 	}
 	return nil
 }
 
+// checkHeld finds out whether a request has begun with the bytes that net/http holds when it reads for the first time after a
+// response. It asks for as many bytes fewer than its buffer can take.
+func (c *conn) checkHeld(held int) {
+	c.isChecked, c.hasRequest = true, false
+	if c.stage == stageWait {
+		c.addBytes(c.recent.last(held))
+	} else if !c.recent.areEmptyLines(held) {
+		c.startRequest()
+	}
+	if !c.hasRequest {
+		c.state = requestNone
+		c.set.signal()
+	}
+}
+
+// addBytes follows bytes that were read while no request had begun.
+func (c *conn) addBytes(p []byte) {
+	p = bytes.TrimLeft(p, "\r\n")
+	switch {
+	case len(p) == 0 || c.isMalformed:
+	case isTokenChar(p[0]):
+		c.startRequest()
+	default:
+		c.isMalformed = true
+	}
+}
+
+func (c *conn) startRequest() {
+	c.hasRequest = true
+	if c.state == requestNone {
+		c.state, c.requestSince = requestReading, time.Now()
+	}
+}
+
 func (c *conn) isClosed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -122,8 +154,11 @@
 	if c.closed {
 		return net.ErrClosed
 	}
-	if c.hasResponded && c.hasIdleDeadline {
-		c.hasResponded = false
+	if c.stage == stageWait && c.hasIdleDeadline {
+		c.stage = stageHead
+		if !c.isChecked {
+			c.startRequest() // checkHeld corrects this for empty lines.
+		}
 	}
 	c.hasIdleDeadline = true
 	return c.Conn.SetReadDeadline(t)
@@ -195,14 +230,15 @@
 func (c *conn) setResponded(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.hasResponded, c.hasIdleDeadline, c.isNew, c.idleSince, c.state = true, false, false, now, requestNone
+	c.stage, c.isChecked, c.isMalformed, c.hasIdleDeadline = stageWait, false, false, false
+	c.isNew, c.idleSince, c.state = false, now, requestNone
 }
 
 // setActive follows the end of a header, or an error in it.
 func (c *conn) setActive() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.hasRequest, c.hasResponded = true, false
+	c.hasRequest, c.stage = true, stageMessage
 }
 
 // closeIfUnused closes the connection if nothing of a request was read and the first one is not expected any more. Otherwise it
@@ -241,7 +277,7 @@
 
 // add adds an accepted connection.
 func (s *connSet) add(c net.Conn) *conn {
-	x := &conn{Conn: c, isNew: true, idleSince: time.Now(), state: requestNone, set: s}
+	x := &conn{Conn: c, isNew: true, idleSince: time.Now(), stage: stageHead, isChecked: true, state: requestNone, set: s}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[x] = true
@@ -253,7 +289,7 @@
 	switch state {
 	case http.StateIdle:
 		c.setResponded(time.Now())
-		return // beginRead makes it idle.
+		return // checkHeld makes it idle.
 	case http.StateActive:
 		c.setActive()
 		return
--- a/internal/httpserver/pipeline_test.go
+++ b/internal/httpserver/pipeline_test.go
@@ -100,3 +100,23 @@
 	require.Less(t, c.waitForClose(), long/8)
 	require.NoError(t, <-drained)
 }
+
+// Guards against a request whose header was read whole with the one before it, and whose connection is closed as unused while the
+// body is on its way.
+func TestDrainAnswersARequestWhoseHeaderCameInOneSegmentWithTheOneBefore(t *testing.T) {
+	for _, first := range []string{"GET / HTTP/1.1\r\nHost: h\r\n\r\n", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody\r\n"} {
+		t.Run(first, func(t *testing.T) {
+			t.Parallel()
+			s := start(t, readBody, patient)
+			c := dial(t, s)
+			c.send("%sPOST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n", first)
+			c.readNoContent()
+			time.Sleep(short)
+			drained := drainWithin(s, long/4)
+			time.Sleep(short)
+			c.send("body")
+			c.readNoContent()
+			require.NoError(t, <-drained)
+		})
+	}
+}
