Count the limit for a header from its first byte

A caller that had sent one to three bytes of its next request on a kept connection held a drain to its end, or until the limit for idle connections, which is longer than the one for headers. A caller that then sent more got the whole limit for a header again.

net/http waits for four bytes after a response with the idle limit, and starts that for the header after them.

When a request begins while net/http waits, its connection now gets the deadline of the header, and the deadline that net/http sets afterwards is cut to it. An idle limit that ends earlier still holds.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -45,9 +45,12 @@
 	stage      readStage
 	// isChecked is set once checkHeld has set hasRequest. isMalformed is set once bytes were read with which no request begins.
 	isChecked, isMalformed bool
-	// hasIdleDeadline is set if net/http has set the deadline for the beginning of the next request.
+	// hasIdleDeadline is set if net/http has set the deadline for the beginning of the next request, which is idleBy.
 	hasIdleDeadline bool
-	closed          bool
+	idleBy          time.Time
+	// headerBy is when the header of a request that began while net/http waited has to end, or zero.
+	headerBy time.Time
+	closed   bool
 	// bufferSize is how many bytes net/http reads at most while it holds none.
 	bufferSize int
 	// recent holds the last bytes that were read.
@@ -138,6 +141,21 @@
 	if c.state == requestNone {
 		c.state, c.requestSince = requestReading, time.Now()
 	}
+	if c.stage == stageWait {
+		c.limitHeader(time.Now())
+	}
+}
+
+// limitHeader makes the limit of a header count from its first byte. net/http counts it from the byte of number peekSize, and applies
+// the limit of idle connections until then.
+func (c *conn) limitHeader(now time.Time) {
+	if c.set.headerTimeout <= 0 {
+		return
+	}
+	c.headerBy = now.Add(c.set.headerTimeout)
+	if c.idleBy.IsZero() || c.headerBy.Before(c.idleBy) {
+		_ = c.Conn.SetReadDeadline(c.headerBy) // A connection that has been closed needs no deadline.
+	}
 }
 
 func (c *conn) isClosed() bool {
@@ -160,7 +178,12 @@
 			c.startRequest() // checkHeld corrects this for empty lines.
 		}
 	}
-	c.hasIdleDeadline = true
+	if c.stage == stageWait {
+		c.hasIdleDeadline, c.idleBy = true, t
+	}
+	if c.stage == stageHead && t.After(c.headerBy) && !c.headerBy.IsZero() {
+		t = c.headerBy
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -231,7 +254,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stage, c.isChecked, c.isMalformed, c.hasIdleDeadline = stageWait, false, false, false
-	c.isNew, c.idleSince, c.state = false, now, requestNone
+	c.isNew, c.idleSince, c.state, c.headerBy = false, now, requestNone, time.Time{}
 }
 
 // setActive follows the end of a header, or an error in it.
@@ -269,10 +292,12 @@
 	counts  *closeCounts
 	// lingering holds connections that are being closed, also after net/http has closed them.
 	lingering *lingerSet
+	// headerTimeout is the longest time for the header of a request; 0 is no limit.
+	headerTimeout time.Duration
 }
 
-func newConnSet(counts *closeCounts) *connSet {
-	return &connSet{conns: map[*conn]bool{}, changed: make(chan struct{}, 1), counts: counts, lingering: newLingerSet()}
+func newConnSet(counts *closeCounts, headerTimeout time.Duration) *connSet {
+	return &connSet{headerTimeout: headerTimeout, conns: map[*conn]bool{}, changed: make(chan struct{}, 1), counts: counts, lingering: newLingerSet()}
 }
 
 // add adds an accepted connection.
--- a/internal/httpserver/empty_line_test.go
+++ b/internal/httpserver/empty_line_test.go
@@ -198,3 +198,65 @@
 		}
 	}
 }
+
+// Guards against a request of which only a part arrives and that holds a drain longer than the limit for its header, also after
+// other limits are in force.
+func TestDrainWaitsForAPartOfAHeaderAsLongAsItsLimit(t *testing.T) {
+	const limit = time.Second
+	for name, sent := range map[string]struct{ with, after string }{
+		"a byte in the segment":          {"G", ""},
+		"a byte after an empty line":     {"\r\nG", ""},
+		"a byte after the answer":        {"", "G"},
+		"three bytes after the answer":   {"", "GET"},
+		"three bytes in the segment":     {"GET", ""},
+		"half a header in the segment":   {"GET / HTTP/1.1\r\nHo", ""},
+		"half a header after the answer": {"", "GET / HTTP/1.1\r\nHo"},
+		"no request in the segment":      {"{\"a\":1}", ""},
+	} {
+		for _, change := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, changed limits %t", name, change), func(t *testing.T) {
+				t.Parallel()
+				s := start(t, readBody, Options{ReadHeaderTimeout: limit, IdleTimeout: long, MaxHeaderBytes: 1 << 16})
+				c := dial(t, s)
+				c.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody%s", sent.with)
+				c.readNoContent()
+				c.send("%s", sent.after)
+				time.Sleep(short)
+				if change {
+					s.SetOptions(patient)
+				}
+				drained, started := drainWithin(s, long/4), time.Now()
+				_, err := io.ReadAll(c.reader) // A part of a request may be refused with a status.
+				require.NoError(t, err)
+				require.Less(t, time.Since(started), 2*limit)
+				require.NoError(t, <-drained)
+			})
+		}
+	}
+}
+
+// Guards against a header whose limit begins again while its first bytes arrive slowly.
+func TestHeaderLimitCountsFromTheFirstByte(t *testing.T) {
+	const limit = time.Second
+	s := start(t, readBody, Options{ReadHeaderTimeout: limit, IdleTimeout: long, MaxHeaderBytes: 1 << 16})
+	c := dial(t, s)
+	require.Equal(t, http.StatusNoContent, c.request().StatusCode)
+	started := time.Now()
+	c.send("G")
+	time.Sleep(limit * 9 / 10)
+	c.send("ET / HTTP/1.1\r\n")
+	_, err := io.ReadAll(c.reader) // A part of a request may be refused with a status.
+	require.NoError(t, err)
+	require.Less(t, time.Since(started), limit*3/2)
+	c = dial(t, s)
+	c.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\n")
+	time.Sleep(limit * 3 / 2)
+	c.send("the body")
+	c.readNoContent()
+	c.send("P")
+	time.Sleep(short)
+	c.send("OST / HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\n")
+	time.Sleep(limit * 3 / 2)
+	c.send("the body")
+	c.readNoContent()
+}
--- a/internal/httpserver/generation.go
+++ b/internal/httpserver/generation.go
@@ -26,7 +26,7 @@
 }
 
 func (s *Server) newGeneration(o Options) *generation {
-	g := &generation{parent: s, options: o, source: &connListener{conns: make(chan net.Conn), closed: make(chan struct{})}, conns: newConnSet(&s.closes)}
+	g := &generation{parent: s, options: o, source: &connListener{conns: make(chan net.Conn), closed: make(chan struct{})}, conns: newConnSet(&s.closes, o.ReadHeaderTimeout)}
 	g.server = &http.Server{
 		Handler: g, ReadHeaderTimeout: o.ReadHeaderTimeout, IdleTimeout: o.IdleTimeout, MaxHeaderBytes: o.MaxHeaderBytes,
 		ConnState:   func(c net.Conn, state http.ConnState) { g.conns.setState(c.(*conn), state) },
