Stop the listener for announcements as the others

At the end of a process, targets whose connections had arrived at the listener for announcements, but were not accepted yet, got a reset instead of an answer. A connection without a request, or with empty lines only, held the stop of the module until its time was over: about a quarter of what was left until drain_limit, before the other modules could stop.

announce.http used net/http by itself. Its Shutdown closes the listener at once and waits 5 s for a new connection on which no request was read.

The module now uses internal/httpserver like the others. That has got what the module had set up: a limit of connections, and one of the time for an answer. A listener that is about to be closed waits for no place. Announcements are still accepted until Stop runs, which drains the listener first. The body of an announcement now has the read timeout to itself; before, the header counted too.

TestConnectionLimit covers the limit in internal/httpserver.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -294,10 +294,12 @@
 	lingering *lingerSet
 	// headerTimeout is the longest time for the header of a request; 0 is no limit.
 	headerTimeout time.Duration
+	// onEnd is called when net/http has ended with a connection.
+	onEnd func()
 }
 
-func newConnSet(counts *closeCounts, headerTimeout time.Duration) *connSet {
-	return &connSet{headerTimeout: headerTimeout, conns: map[*conn]bool{}, changed: make(chan struct{}, 1), counts: counts, lingering: newLingerSet()}
+func newConnSet(counts *closeCounts, headerTimeout time.Duration, onEnd func()) *connSet {
+	return &connSet{headerTimeout: headerTimeout, onEnd: onEnd, conns: map[*conn]bool{}, changed: make(chan struct{}, 1), counts: counts, lingering: newLingerSet()}
 }
 
 // add adds an accepted connection.
@@ -322,6 +324,7 @@
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
+		s.onEnd()
 	default:
 		return
 	}
--- a/internal/httpserver/generation.go
+++ b/internal/httpserver/generation.go
@@ -26,9 +26,9 @@
 }
 
 func (s *Server) newGeneration(o Options) *generation {
-	g := &generation{parent: s, options: o, source: &connListener{conns: make(chan net.Conn), closed: make(chan struct{})}, conns: newConnSet(&s.closes, o.ReadHeaderTimeout)}
+	g := &generation{parent: s, options: o, source: &connListener{conns: make(chan net.Conn), closed: make(chan struct{})}, conns: newConnSet(&s.closes, o.ReadHeaderTimeout, s.releasePlace)}
 	g.server = &http.Server{
-		Handler: g, ReadHeaderTimeout: o.ReadHeaderTimeout, IdleTimeout: o.IdleTimeout, MaxHeaderBytes: o.MaxHeaderBytes,
+		Handler: g, ReadHeaderTimeout: o.ReadHeaderTimeout, WriteTimeout: o.WriteTimeout, IdleTimeout: o.IdleTimeout, MaxHeaderBytes: o.MaxHeaderBytes,
 		ConnState:   func(c net.Conn, state http.ConnState) { g.conns.setState(c.(*conn), state) },
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		BaseContext: func(net.Listener) context.Context { return s.requests },
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -26,6 +26,10 @@
 	// BodyTimeout is the longest time from the end of the header to the end of the body of a request; 0 is no limit. A read of
 	// the body fails after it.
 	BodyTimeout time.Duration
+	// WriteTimeout is the longest time from the end of the header to the end of the response; 0 is no limit.
+	WriteTimeout time.Duration
+	// MaxConnections is how many connections are accepted at the same time; 0 is no limit. SetOptions does not change it.
+	MaxConnections int
 }
 
 const (
@@ -64,6 +68,10 @@
 	// connections that have arrived by then were accepted.
 	closeBy  atomic.Pointer[time.Time]
 	accepted chan struct{}
+	// places is a semaphore for connections, or nil without a limit. closing is closed when the listener is about to be closed.
+	places    chan struct{}
+	closing   chan struct{}
+	closeOnce sync.Once
 	// requests is the parent of the contexts of all requests. endRequests ends it.
 	requests    context.Context
 	endRequests context.CancelCauseFunc
@@ -82,7 +90,10 @@
 
 // New returns a server that does not listen yet.
 func New(address string, handler http.Handler, logger log.Logger, o Options) *Server {
-	s := &Server{address: address, handler: handler, logger: logger, accepted: make(chan struct{})}
+	s := &Server{address: address, handler: handler, logger: logger, accepted: make(chan struct{}), closing: make(chan struct{})}
+	if o.MaxConnections > 0 {
+		s.places = make(chan struct{}, o.MaxConnections)
+	}
 	s.requests, s.endRequests = context.WithCancelCause(context.Background())
 	s.current = s.newGeneration(o)
 	return s
@@ -110,8 +121,11 @@
 // backlogTimeout after stopAccepting.
 func (s *Server) accept() {
 	defer close(s.accepted)
-	for {
+	for s.acquirePlace() {
 		c, err := s.listener.Accept()
+		if err != nil {
+			s.releasePlace()
+		}
 		switch {
 		case err == nil:
 			s.mu.Lock()
@@ -129,6 +143,30 @@
 	}
 }
 
+// acquirePlace waits for a place for a connection. It returns false if there is none when the listener is closed.
+func (s *Server) acquirePlace() bool {
+	if s.places == nil {
+		return true
+	}
+	select {
+	case s.places <- struct{}{}:
+		return true
+	default:
+	}
+	select {
+	case s.places <- struct{}{}:
+		return true
+	case <-s.closing:
+		return false
+	}
+}
+
+func (s *Server) releasePlace() {
+	if s.places != nil {
+		<-s.places
+	}
+}
+
 // SetOptions applies other limits to new connections. Earlier connections keep theirs and are closed with the response to
 // their next request, so that no request is aborted.
 func (s *Server) SetOptions(o Options) {
@@ -266,6 +304,7 @@
 	}
 	closeBy := time.Now().Add(backlogLimit)
 	s.closeBy.Store(&closeBy)
+	s.closeOnce.Do(func() { close(s.closing) })
 	s.limitAccept()
 	select {
 	case <-s.accepted:
@@ -301,6 +340,7 @@
 func (s *Server) closeAll(fn func(*generation) error) error {
 	s.mu.Lock()
 	s.stopped = true
+	s.closeOnce.Do(func() { close(s.closing) })
 	all := append([]*generation{s.current}, s.older...)
 	s.mu.Unlock()
 	if s.listener == nil {
--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -210,3 +211,24 @@
 	}
 	require.NoError(t, <-drained)
 }
+
+// Guards against more connections than the limit, places that are not returned, and a drain that waits for a place.
+func TestConnectionLimit(t *testing.T) {
+	o := patient
+	o.MaxConnections = 2
+	s := start(t, replyNoContent, o)
+	first, second, third := dial(t, s), dial(t, s), dial(t, s)
+	require.False(t, first.request().Close)
+	require.False(t, second.request().Close)
+	third.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, third.SetReadDeadline(time.Now().Add(short)))
+	_, err := third.reader.Peek(1)
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	require.NoError(t, first.Close())
+	require.NoError(t, third.SetReadDeadline(time.Now().Add(long/2)))
+	third.readNoContent()
+	dial(t, s)
+	drained, started := drainWithin(s, long/4), time.Now()
+	require.NoError(t, <-drained)
+	require.Less(t, time.Since(started), long/8)
+}
--- a/internal/modules/announce/module.go
+++ b/internal/modules/announce/module.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"time"
 
@@ -13,10 +12,10 @@
 	"github.com/go-kit/log/level"
 	"github.com/labstack/echo/v4"
 	"github.com/uber-go/tally/v4"
-	"golang.org/x/net/netutil"
 
 	"github.com/chestnuttiller/chestnuttiller/internal/errs"
 	"github.com/chestnuttiller/chestnuttiller/internal/httperr"
+	"github.com/chestnuttiller/chestnuttiller/internal/httpserver"
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/settings"
 	"github.com/chestnuttiller/chestnuttiller/internal/targetapi"
@@ -56,12 +55,9 @@
 	directory      kernel.TargetDirectory
 	listen         string
 	maxConnections int
-	server         *http.Server
-	listener       net.Listener
+	server         *httpserver.Server
 	// decoding is a semaphore for the announcements that are being read.
 	decoding chan struct{}
-	// serveDone is closed once the server has stopped serving.
-	serveDone chan struct{}
 }
 
 // Provision implements kernel.Provisioner.
@@ -72,17 +68,17 @@
 	}
 	m.logger, m.scope = ctx.Logger("announce"), ctx.Scope("announce")
 	m.listen, m.maxConnections = ctx.Settings.String(section, "listen"), ctx.Settings.Int(section, "max_connections")
-	m.decoding, m.serveDone = make(chan struct{}, maxDecoding), make(chan struct{})
+	m.decoding = make(chan struct{}, maxDecoding)
 	advertise := ctx.Settings.String(section, "advertise")
 	if advertise == "" {
 		advertise = m.listen
 	}
 	m.directory.SetAnnounceURL("http://" + advertise + targetapi.PathAnnounce)
 	timeout := ctx.Settings.Duration(section, "read_timeout")
-	m.server = &http.Server{
-		Handler: m.routes(), ReadHeaderTimeout: timeout, ReadTimeout: timeout,
-		WriteTimeout: timeout + announceTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+	m.server = httpserver.New(m.listen, m.routes(), m.logger, httpserver.Options{
+		ReadHeaderTimeout: timeout, BodyTimeout: timeout, WriteTimeout: timeout + announceTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, MaxConnections: m.maxConnections,
+	})
 	return nil
 }
 
@@ -95,36 +91,17 @@
 
 // Start implements kernel.Starter.
 func (m *Module) Start(context.Context) error {
-	l, err := net.Listen("tcp", m.listen)
-	if err != nil {
-		return errs.Wrap(err, errs.KindInvalid, "give [announce] listen a free address of this VM", "cannot listen for announcements")
-	}
-	m.listener = l
-	_ = level.Info(m.logger).Log("msg", "listening for announcements", "address", l.Addr())
-	go func() {
-		defer close(m.serveDone)
-		if err := m.server.Serve(netutil.LimitListener(l, m.maxConnections)); !errors.Is(err, http.ErrServerClosed) {
-			_ = level.Error(m.logger).Log("msg", "HTTP server for announcements stopped unexpectedly; this VM accepts no more announcements", "err", err)
-		}
-	}()
-	return nil
+	return errs.Wrap(m.server.Start(), errs.KindInvalid, "give [announce] listen a free address of this VM", "cannot listen for announcements")
 }
 
 // Addr returns the address of the listener.
-func (m *Module) Addr() string { return m.listener.Addr().String() }
+func (m *Module) Addr() string { return m.server.Addr() }
 
 // Stop implements kernel.Stopper. Announcements are accepted until Stop runs, because the requests that are still in
 // flight depend on the state of targets.
 func (m *Module) Stop(ctx context.Context) error {
-	if m.listener == nil {
-		return nil
-	}
-	err := m.server.Shutdown(ctx)
-	if err != nil {
-		err = m.server.Close()
-	}
-	<-m.serveDone
-	return err
+	_ = m.server.Drain(ctx, 0) // It logs its error. Announcements that are left are cut off, and their targets announce again.
+	return m.server.Stop()
 }
 
 func (m *Module) announce(c echo.Context) error {
