--- a/internal/httpserver/empty_line_test.go
+++ b/internal/httpserver/empty_line_test.go
@@ -100,6 +100,22 @@
 	}
 }
 
+// Guards against an empty line after a body that the caller sends once it is asked to continue, and that holds a drain.
+func TestDrainClosesAConnectionWithAnEmptyLineAfterAContinuedBody(t *testing.T) {
+	s := start(t, readBody, patient)
+	c := dial(t, s)
+	c.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n")
+	res, err := http.ReadResponse(c.reader, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusContinue, res.StatusCode)
+	c.send("body\r\n")
+	c.readNoContent()
+	time.Sleep(short)
+	drained := drainWithin(s, long/4)
+	require.Less(t, c.waitForClose(), long/8)
+	require.NoError(t, <-drained)
+}
+
 // Guards against empty lines on a new connection that hold a drain longer than a connection without a byte.
 func TestDrainClosesANewConnectionWithoutABeginOfARequest(t *testing.T) {
 	for name, sent := range map[string]string{"nothing": "", "CR": "\r", "TLS": "\x16\x03\x01"} {
