Answer requests that were read before the close of their connection

A caller that sends several requests in one segment got no answer to the later ones if a drain or a change of the limits began while an earlier one was handled: the process had read them, and the connection ended after the first answer.

The first answer announced the close of its connection, and net/http then drops what it holds of further requests. Nothing compared the announcement with what had been read.

The connection now follows the bytes that net/http reads: it finds the end of each header, takes off the body, whose length is known when its handler starts, and looks for the last chunk of a chunked one. A response announces the close only if no whole header has been read behind its request. A part of a header is still dropped: its request was not read whole, and the caller may send it elsewhere. The announcement is also made for a handler that writes nothing.

After an empty line behind a request other than POST net/http itself answers 400, as before.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -55,6 +55,7 @@
 	bufferSize int
 	// recent holds the last bytes that were read.
 	recent recentBytes
+	input  input
 	// idleSince is when the connection was accepted or the last response ended. isNew is set until the first
 	// response has ended.
 	idleSince time.Time
@@ -87,6 +88,7 @@
 		c.callerEnded = true
 	}
 	c.recent.add(p[:n])
+	c.input.add(p[:n])
 	if c.stage != stageMessage && !c.hasRequest {
 		c.addBytes(p[:n])
 	}
@@ -219,12 +221,20 @@
 	return err
 }
 
-// beginRequest follows the start of a handler.
-func (c *conn) beginRequest(endsByClose bool) {
+// beginRequest follows the start of a handler. A negative length of the body is not known.
+func (c *conn) beginRequest(endsByClose bool, bodyLength int64) {
 	c.setRequestState(requestHandling)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.endsByClose = endsByClose
+	c.input.beginBody(bodyLength)
+}
+
+// holdsRequest reports whether net/http holds another request behind the current one.
+func (c *conn) holdsRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.input.holdsRequest()
 }
 
 func (c *conn) setRequestState(state requestState) {
@@ -255,6 +265,7 @@
 	defer c.mu.Unlock()
 	c.stage, c.isChecked, c.isMalformed, c.hasIdleDeadline = stageWait, false, false, false
 	c.isNew, c.idleSince, c.state, c.headerBy = false, now, requestNone, time.Time{}
+	c.input.next()
 }
 
 // setActive follows the end of a header, or an error in it.
--- a/internal/httpserver/generation.go
+++ b/internal/httpserver/generation.go
@@ -38,13 +38,10 @@
 
 // ServeHTTP implements http.Handler.
 func (g *generation) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if g.replaced.Load() {
-		// The response closes the connection, so that the next request is subject to the new limits.
-		w.Header().Set("Connection", "close")
-	}
 	c := r.Context().Value(connKey{}).(*conn)
-	c.beginRequest(!r.ProtoAtLeast(1, 1))
-	w = &responseWriter{ResponseWriter: w, server: g.parent, conn: c}
+	c.beginRequest(!r.ProtoAtLeast(1, 1), r.ContentLength)
+	response := &responseWriter{ResponseWriter: w, server: g.parent, conn: c, isReplaced: g.replaced.Load()}
+	w = response
 	bodyTimeout := g.options.BodyTimeout
 	if endBy := g.parent.endBy.Load(); endBy != nil {
 		ctx, cancel := context.WithDeadlineCause(r.Context(), *endBy, errShutdown)
@@ -58,17 +55,20 @@
 		r.Body = newTimedBody(w, r.Body, bodyTimeout)
 	}
 	g.parent.handler.ServeHTTP(w, r)
+	response.begin() // net/http sends the header of a response without a body after the return.
 	c.setRequestState(requestAnswered)
 	g.parent.answered.Add(1)
 }
 
-// responseWriter makes a response close its connection if the server is draining when the response begins, so that the next request
-// goes to another VM.
+// responseWriter makes a response close its connection if the server had other options when the request began, so that the next request
+// is subject to them, or is draining when the response begins, so that the next request goes to another VM. Requests that net/http
+// holds already are answered before.
 type responseWriter struct {
 	http.ResponseWriter
-	server   *Server
-	conn     *conn
-	hasBegun bool
+	server     *Server
+	conn       *conn
+	isReplaced bool
+	hasBegun   bool
 }
 
 func (w *responseWriter) begin() {
@@ -76,7 +76,7 @@
 		return
 	}
 	w.hasBegun = true
-	if w.server.draining.Load() {
+	if (w.isReplaced || w.server.draining.Load()) && !w.conn.holdsRequest() {
 		w.Header().Set("Connection", "close")
 	}
 	w.conn.setRequestState(requestAnswering)
--- a/internal/httpserver/pipeline_test.go
+++ b/internal/httpserver/pipeline_test.go
@@ -120,3 +120,57 @@
 		})
 	}
 }
+
+// Guards against a request that was read in one segment with the one before it, and whose connection is closed without its answer
+// because a stop or a change of the limits began while the first one was handled.
+func TestRequestThatWasReadBeforeACloseIsAnswered(t *testing.T) {
+	const (
+		get     = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+		post    = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+		chunked = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	)
+	for name, change := range map[string]func(*Server){
+		"drain":        func(s *Server) { drainWithin(s, long) },
+		"other limits": func(s *Server) { s.SetOptions(Options{IdleTimeout: long}) },
+	} {
+		// A second piece is sent after the first answer.
+		for form, pieces := range map[string][]string{
+			"GET":               {get + get + get},
+			"POST":              {post + post + post},
+			"chunked":           {chunked + chunked + chunked},
+			"mixed":             {chunked + get + post},
+			"empty lines":       {post + "\r\n" + post + "\n\n" + get},
+			"part of a request": {get + get + get + get[:20]},
+			"body later":        {get + post + post[:len(post)-4], "body"},
+		} {
+			for answer, reply := range map[string]http.HandlerFunc{"written": replyNoContent, "implicit": func(http.ResponseWriter, *http.Request) {}} {
+				t.Run(name+"/"+form+"/"+answer, func(t *testing.T) {
+					t.Parallel()
+					entered, release := make(chan struct{}, 3), make(chan struct{})
+					s := start(t, func(w http.ResponseWriter, r *http.Request) {
+						_, _ = io.Copy(io.Discard, r.Body) // The test checks the answers.
+						entered <- struct{}{}
+						<-release
+						reply(w, r)
+					}, patient)
+					c := dial(t, s)
+					c.send("%s", pieces[0])
+					<-entered
+					change(s)
+					time.Sleep(short)
+					close(release)
+					for i := range 3 {
+						if i == 1 && len(pieces) > 1 {
+							c.send("%s", pieces[1])
+						}
+						res, err := http.ReadResponse(c.reader, nil)
+						require.NoError(t, err, "answer %d", i+1)
+						require.NoError(t, res.Body.Close())
+						require.Less(t, res.StatusCode, http.StatusMultipleChoices)
+						require.Equal(t, i == 2, res.Close, "the last answer announces the close")
+					}
+				})
+			}
+		}
+	}
+}
