Answer requests that were sent before the close of their connection

Callers that send each request before the answer to the last one got no answer to it if a stop or changed limits closed the connection, and noticed only when the last answer came, up to seconds later. The process read such a request and dropped it while it waited for the caller to close. In one segment, requests behind one that was answered with "Connection: close" by its handler (a VM that is shutting down or cut off) were dropped as well, although read.

The announcement of the close looked at what net/http holds only, not at what the operating system has received, and not at all where the handler announces.

A response now announces the close only if no further request is there. As a caller may always send ahead, this holds without limit while the VM is in service, and once in a row afterwards: a request on a connection that was kept for it alone gets a deadline that has passed, so that it is refused at once, since it has not run, and the caller gets the announcement before it sends the next one.

TestRequestThatWasSentBeforeACloseIsAnswered, and the new cases of TestRequestThatWasReadBeforeACloseIsAnswered.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -56,6 +56,8 @@
 	// recent holds the last bytes that were read.
 	recent recentBytes
 	input  input
+	// isKept is set if the last response would have announced the close of the connection, but another request was waiting.
+	isKept bool
 	// idleSince is when the connection was accepted or the last response ended. isNew is set until the first
 	// response has ended.
 	idleSince time.Time
@@ -230,11 +232,21 @@
 	c.input.beginBody(bodyLength)
 }
 
-// holdsRequest reports whether net/http holds another request behind the current one.
-func (c *conn) holdsRequest() bool {
+// keep decides whether the connection stays open after the current response, although it is to be closed, because the caller has
+// already sent another request. A caller may send each request before the answer to the last one, so beyond what net/http holds this is
+// so once in a row, unless always is set.
+func (c *conn) keep(always bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.input.holdsRequest()
+	c.isKept = c.input.holdsRequest() || (always || !c.isKept) && c.input.bodyEnded() && unreadBytes(c.Conn) > 0
+	return c.isKept
+}
+
+// wasKept reports whether the connection has stayed open only for the request that begins now.
+func (c *conn) wasKept() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isKept
 }
 
 func (c *conn) setRequestState(state requestState) {
--- a/internal/httpserver/generation.go
+++ b/internal/httpserver/generation.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,7 +45,11 @@
 	w = response
 	bodyTimeout := g.options.BodyTimeout
 	if endBy := g.parent.endBy.Load(); endBy != nil {
-		ctx, cancel := context.WithDeadlineCause(r.Context(), *endBy, errShutdown)
+		deadline := *endBy
+		if g.parent.isClosing() && c.wasKept() {
+			deadline = time.Now() // The next request of this caller would have to wait behind this one, and then be dropped.
+		}
+		ctx, cancel := context.WithDeadlineCause(r.Context(), deadline, errShutdown)
 		defer cancel()
 		r = r.WithContext(ctx)
 		if left := max(time.Until(*endBy), 0); bodyTimeout == 0 || left < bodyTimeout {
@@ -61,8 +66,8 @@
 }
 
 // responseWriter makes a response close its connection if the server had other options when the request began, so that the next request
-// is subject to them, or is draining when the response begins, so that the next request goes to another VM. Requests that net/http
-// holds already are answered before.
+// is subject to them, or is draining when the response begins, so that the next request goes to another VM. Requests that the caller
+// has sent already are answered before, also where the handler closes the connection.
 type responseWriter struct {
 	http.ResponseWriter
 	server     *Server
@@ -76,8 +81,12 @@
 		return
 	}
 	w.hasBegun = true
-	if (w.isReplaced || w.server.draining.Load()) && !w.conn.holdsRequest() {
+	isDraining := w.server.draining.Load()
+	if w.isReplaced || isDraining || strings.EqualFold(w.Header().Get("Connection"), "close") {
 		w.Header().Set("Connection", "close")
+		if w.conn.keep(isDraining && !w.server.isClosing()) {
+			w.Header().Del("Connection")
+		}
 	}
 	w.conn.setRequestState(requestAnswering)
 }
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -297,6 +297,16 @@
 	}
 }
 
+// isClosing reports whether the delay of a drain has passed.
+func (s *Server) isClosing() bool {
+	select {
+	case <-s.closing:
+		return true
+	default:
+		return false
+	}
+}
+
 // stopAccepting accepts the connections that have already arrived and returns once no other one does.
 func (s *Server) stopAccepting(ctx context.Context) {
 	if s.listener == nil {
--- a/internal/httpserver/input.go
+++ b/internal/httpserver/input.go
@@ -65,6 +65,14 @@
 	return behind
 }
 
+// bodyEnded reports whether all of the current request was read.
+func (in *input) bodyEnded() bool {
+	if in.isChunked {
+		return bytes.Contains(in.ahead, []byte(lastChunk))
+	}
+	return in.bodyLeft == 0
+}
+
 // holdsRequest reports whether the whole header of another request was read.
 func (in *input) holdsRequest() bool {
 	held := bytes.TrimLeft(in.behindBody(), "\r\n")
--- a/internal/httpserver/pipeline_test.go
+++ b/internal/httpserver/pipeline_test.go
@@ -1,8 +1,10 @@
 package httpserver
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -132,6 +134,7 @@
 	for name, change := range map[string]func(*Server){
 		"drain":        func(s *Server) { drainWithin(s, long) },
 		"other limits": func(s *Server) { s.SetOptions(Options{IdleTimeout: long}) },
+		"":             func(*Server) {},
 	} {
 		// A second piece is sent after the first answer.
 		for form, pieces := range map[string][]string{
@@ -143,7 +146,16 @@
 			"part of a request": {get + get + get + get[:20]},
 			"body later":        {get + post + post[:len(post)-4], "body"},
 		} {
-			for answer, reply := range map[string]http.HandlerFunc{"written": replyNoContent, "implicit": func(http.ResponseWriter, *http.Request) {}} {
+			for answer, reply := range map[string]http.HandlerFunc{
+				"written": replyNoContent, "implicit": func(http.ResponseWriter, *http.Request) {},
+				"closing": func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set("Connection", "close")
+					replyNoContent(w, r)
+				},
+			} {
+				if name == "" && answer != "closing" {
+					continue
+				}
 				t.Run(name+"/"+form+"/"+answer, func(t *testing.T) {
 					t.Parallel()
 					entered, release := make(chan struct{}, 3), make(chan struct{})
@@ -174,3 +186,54 @@
 		}
 	}
 }
+
+// Guards against a request that was sent before the answer to the one before it, and whose connection is closed without its answer by a
+// stop or a change of the limits. At the end of a drain such a request is refused at once, so that none is sent behind it for long.
+func TestRequestThatWasSentBeforeACloseIsAnswered(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		change    func(*Server)
+		isRefused bool
+	}{
+		{"begin of a drain", func(s *Server) {
+			ctx, cancel := context.WithTimeout(context.Background(), long)
+			time.AfterFunc(long, cancel)
+			go func() { _ = s.Drain(ctx, long/2) }() // The test checks the answers.
+		}, false},
+		{"end of a drain", func(s *Server) { drainWithin(s, long) }, true},
+		{"other limits", func(s *Server) { s.SetOptions(Options{IdleTimeout: long}) }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			entered, release := make(chan struct{}, 4), make(chan struct{}, 4)
+			var refused atomic.Int32
+			s := start(t, func(w http.ResponseWriter, r *http.Request) {
+				entered <- struct{}{}
+				select {
+				case <-release:
+				case <-r.Context().Done():
+					refused.Add(1)
+				}
+				replyNoContent(w, r)
+			}, patient)
+			x := dial(t, s)
+			x.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			<-entered
+			x.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			c.change(s)
+			time.Sleep(short)
+			release <- struct{}{}
+			x.readNoContent()
+			<-entered
+			if !c.isRefused {
+				release <- struct{}{}
+			}
+			res, err := http.ReadResponse(x.reader, nil)
+			require.NoError(t, err)
+			require.NoError(t, res.Body.Close())
+			require.True(t, res.Close)
+			require.Equal(t, c.isRefused, refused.Load() == 1)
+			x.waitForClose()
+		})
+	}
+}
