Refuse a request whose last attempts were chosen but not started

Callers of a scatter-gather route got 502 for a request that no leaf had run, if one of its shards failed in the same step in which leaves were chosen for the others. Step returns either attempts or a response, so that these attempts were never started, but mayHaveRun counted them as under way.

The attempts that a step has added are now ended as not sent before it decides on a failure or a timeout. Nothing starts them later, because the response ends the run; so the 503 is true.

TestAttemptsThatAreNotStartedCountAsNotRun failed before ("expected: refused, actual: failed") and passes, as do the tests of internal/forward and internal/modules/forwarder with -race.

--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -6,24 +6,27 @@
 	"strings"
 	"time"
 
+	"github.com/chestnuttiller/chestnuttiller/internal/errs"
 	"github.com/chestnuttiller/chestnuttiller/internal/routes"
 )
 
 // finish returns the response, or nil while the request is not finished. open reports whether a part still waits for its
-// reply.
-func (r *Run) finish(now time.Time, open bool) *Response {
+// reply. sends lists the attempts that are started only if there is no response.
+func (r *Run) finish(now time.Time, open bool, sends []Send) *Response {
 	switch {
 	case r.answeredParts == len(r.parts):
 		return r.answer("all parts have replied")
 	case !open && r.hasEnough() && r.route.IsScatterGather():
 		return r.answer("the other parts have failed")
 	case !open || r.cannotSucceed():
+		r.drop(sends)
 		return r.failure(now)
 	case r.route.IsScatterGather() && r.hasEnough() && !now.Before(r.partialAt):
 		return r.answer("the objective is reached")
 	case !r.sent && !now.Before(r.refuseAt):
 		return r.refuse(now, "no connection to a leaf is available")
 	case !now.Before(r.deadline):
+		r.drop(sends)
 		if !r.mayHaveRun() {
 			return r.refuse(now, "no leaf could run the request in time")
 		}
@@ -52,6 +55,15 @@
 	return out
 }
 
+var errNotStarted = errs.New(errs.KindUnavailable, "no action is needed", "the request ended before the attempt was started")
+
+// drop ends attempts that are not started because the request ends.
+func (r *Run) drop(sends []Send) {
+	for _, s := range sends {
+		r.AttemptEnded(s.Part, s.Attempt, AttemptResult{Err: errNotStarted})
+	}
+}
+
 // mayHaveRun reports whether a leaf has run the request or still may.
 func (r *Run) mayHaveRun() bool {
 	if r.anyMayHaveRun {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -175,7 +175,7 @@
 			wake = earlier(wake, partWake)
 		}
 	}
-	if response = r.finish(now, open); response != nil {
+	if response = r.finish(now, open, sends); response != nil {
 		return nil, response, now
 	}
 	if r.hasEnough() {
--- a/internal/forward/run_test.go
+++ b/internal/forward/run_test.go
@@ -386,3 +386,19 @@
 	require.Empty(t, sends, "the route allows two attempts")
 	require.Zero(t, r.Waiting(), "a request with an attempt under way is in no queue")
 }
+
+// Guards against 502 for a request that no leaf has run, because its last step chose leaves for some parts and gave up on another.
+func TestAttemptsThatAreNotStartedCountAsNotRun(t *testing.T) {
+	e := newEnv("a", "b", "c", "d")
+	e.extraLeft = 3
+	r := newRun(scatterRoute(1), e)
+	sends, _, _ := r.Step(start)
+	require.Len(t, sends, 4)
+	for _, s := range sends {
+		r.AttemptEnded(s.Part, s.Attempt, replyWith(503, true))
+	}
+	sends, response, _ := r.Step(at(1))
+	require.Empty(t, sends)
+	require.Equal(t, KindRefused, response.Kind)
+	require.Positive(t, response.RetryAfter)
+}
