Refuse a request whose connections to leaves are still being opened

A request that may run only once got 504 at its deadline or at the end of a stop, and a scatter-gather request 502 after the failure of a shard, while connections for it were still being opened. Nothing of it had been sent, so 503 with Retry-After was due, after which callers may send it elsewhere.

The run knew only that an attempt had not ended. The transport now returns a LeafAttempt, which Withdraw takes back if no byte has been written. Before it fails or times out, the run withdraws what was not sent. The attempt's lock orders Withdraw and the beginning of the write: whichever comes first excludes the other, so that nothing is written after 503. The connection goes on being opened, since its failure is evidence about the leaf; other results of a withdrawn attempt do not count against the leaf.

With the withdrawal taken out, TestRequestOfWhichNothingWasSentIsRefused and TestUnsentRequestIsRefusedWhenTheVMEnds fail ("expected: refused, actual: timeout"); with the check before the write taken out, TestWithdrawnAttemptIsNotWritten fails (withdrawn and sent). With the change, the tests of internal/forward, internal/modules/forwarder, internal/modules/leafpool and internal/kernel pass with -race.

--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -19,14 +19,14 @@
 	case !open && r.hasEnough() && r.route.IsScatterGather():
 		return r.answer("the other parts have failed")
 	case !open || r.cannotSucceed():
-		r.drop(sends)
+		r.withdrawUnsent(sends)
 		return r.failure(now)
 	case r.route.IsScatterGather() && r.hasEnough() && !now.Before(r.partialAt):
 		return r.answer("the objective is reached")
 	case !r.sent && !now.Before(r.refuseAt):
 		return r.refuse(now, "no connection to a leaf is available")
 	case !now.Before(r.deadline):
-		r.drop(sends)
+		r.withdrawUnsent(sends)
 		if !r.mayHaveRun() {
 			return r.refuse(now, "no leaf could run the request in time")
 		}
@@ -55,13 +55,23 @@
 	return out
 }
 
-var errNotStarted = errs.New(errs.KindUnavailable, "no action is needed", "the request ended before the attempt was started")
+var (
+	errNotStarted = errs.New(errs.KindUnavailable, "no action is needed", "the request ended before the attempt was started")
+	errWithdrawn  = errs.New(errs.KindUnavailable, "see why no connection to the leaf was opened in time", "the request ended before the attempt was sent")
+)
 
-// drop ends attempts that are not started because the request ends.
-func (r *Run) drop(sends []Send) {
+// withdrawUnsent ends the attempts of which nothing was sent, because the request ends. sends lists those that were not started.
+func (r *Run) withdrawUnsent(sends []Send) {
 	for _, s := range sends {
 		r.AttemptEnded(s.Part, s.Attempt, AttemptResult{Err: errNotStarted})
 	}
+	for i := range r.parts {
+		for n := range r.parts[i].attempts {
+			if !r.parts[i].attempts[n].ended && r.env.Withdraw(i, n) {
+				r.AttemptEnded(i, n, AttemptResult{Err: errWithdrawn})
+			}
+		}
+	}
 }
 
 // mayHaveRun reports whether a leaf has run the request or still may.
--- a/internal/forward/run_test.go
+++ b/internal/forward/run_test.go
@@ -26,6 +26,8 @@
 	hedgeDelay time.Duration
 	seen       SeenLatency
 	extraLeft  int
+	// unsent holds the numbers, as in Send, of the attempts of which nothing was sent.
+	unsent map[[2]int]bool
 	// pending is how many of the next requests for extra attempts are pending.
 	pending       int
 	firstAttempts int
@@ -92,7 +94,8 @@
 	}
 	return ExtraGranted
 }
-func (e *fakeEnv) HedgeDelay() time.Duration { return e.hedgeDelay }
+func (e *fakeEnv) Withdraw(part, attempt int) bool { return e.unsent[[2]int{part, attempt}] }
+func (e *fakeEnv) HedgeDelay() time.Duration       { return e.hedgeDelay }
 
 func (e *fakeEnv) SeenLatency() SeenLatency { return e.seen }
 
@@ -402,3 +405,47 @@
 	require.Equal(t, KindRefused, response.Kind)
 	require.Positive(t, response.RetryAfter)
 }
+
+// Guards against 504 or 502 for a request of which nothing was sent, because connections to leaves were still being opened, and against
+// 503 for one that may have been sent.
+func TestRequestOfWhichNothingWasSentIsRefused(t *testing.T) {
+	for _, c := range []struct {
+		unsent map[[2]int]bool
+		kind   Kind
+	}{
+		{map[[2]int]bool{{0, 0}: true, {0, 1}: true}, KindRefused},
+		{map[[2]int]bool{{0, 0}: true}, KindTimeout},
+		{map[[2]int]bool{{0, 1}: true}, KindTimeout},
+	} {
+		for _, end := range []int{0, 30} {
+			e := newEnv("a")
+			e.unsent = c.unsent
+			r := newRun(singleRoute(true), e)
+			r.Step(start)
+			sends, _, _ := r.Step(at(20))
+			require.Len(t, sends, 1, "the hedge")
+			now := 1000
+			if end > 0 {
+				r.End(at(end))
+				now = end
+			}
+			_, response, _ := r.Step(at(now))
+			require.Equal(t, c.kind, response.Kind)
+			require.Equal(t, c.kind == KindRefused && end > 0, response.TryAnotherVM)
+		}
+	}
+	for _, unsent := range []bool{true, false} {
+		e := newEnv("a", "b", "c", "d")
+		e.extraLeft = 0
+		e.unsent = map[[2]int]bool{{1, 0}: unsent, {2, 0}: true, {3, 0}: true}
+		r := newRun(scatterRoute(1), e)
+		r.Step(start)
+		r.AttemptEnded(0, 0, replyWith(503, true))
+		_, response, _ := r.Step(at(1))
+		if unsent {
+			require.Equal(t, KindRefused, response.Kind)
+		} else {
+			require.Equal(t, KindFailed, response.Kind)
+		}
+	}
+}
--- a/internal/kernel/interfaces.go
+++ b/internal/kernel/interfaces.go
@@ -324,11 +324,19 @@
 	ReadReply(r *bufio.Reader, req *forward.LeafRequest) (reply *forward.LeafReply, reusable bool, err error)
 }
 
+// LeafAttempt is an attempt that was passed to a LeafTransport.
+type LeafAttempt interface {
+	// Cancel ends the attempt early and closes its connection; done is still called.
+	Cancel()
+	// Withdraw reports whether no byte of the request has been sent, and none ever will be. An attempt that may have been sent
+	// continues. Done is called in either case.
+	Withdraw() bool
+}
+
 // LeafTransport carries attempts to leaves over warm connections.
 type LeafTransport interface {
 	// Send starts an attempt and calls done once with its result, from any goroutine and possibly before Send returns.
-	// Cancel ends the attempt early and closes its connection; done is still called.
-	Send(l *leaves.Member, req *forward.LeafRequest, done func(forward.AttemptResult)) (cancel func())
+	Send(l *leaves.Member, req *forward.LeafRequest, done func(forward.AttemptResult)) LeafAttempt
 	// CheckReachable opens a connection to a leaf and closes it. An error means that the leaf cannot be reached.
 	CheckReachable(ctx context.Context, l *leaves.Member) error
 	forward.Connections
--- a/internal/modules/forwarder/extras_test.go
+++ b/internal/modules/forwarder/extras_test.go
@@ -35,13 +35,13 @@
 	attempts map[model.ServiceName]int
 }
 
-func (x *sheddingTransport) Send(l *leaves.Member, _ *forward.LeafRequest, done func(forward.AttemptResult)) func() {
+func (x *sheddingTransport) Send(l *leaves.Member, _ *forward.LeafRequest, done func(forward.AttemptResult)) kernel.LeafAttempt {
 	reply := &forward.LeafReply{Status: 200, Signature: l.ID}
 	if x.attempts[l.Service]++; x.attempts[l.Service]%2 == 1 {
 		reply = &forward.LeafReply{Status: 503, NotRun: true}
 	}
 	done(forward.AttemptResult{Reply: reply, Sent: true, Latency: time.Millisecond})
-	return func() {}
+	return sentAttempt(func() {})
 }
 
 // Guards against a request that is not sent again although a control VM grants the attempt, and against one that is sent again although
--- a/internal/modules/forwarder/module_test.go
+++ b/internal/modules/forwarder/module_test.go
@@ -149,10 +149,10 @@
 	end context.CancelCauseFunc
 }
 
-func (x *shutdownTransport) Send(l *leaves.Member, _ *forward.LeafRequest, done func(forward.AttemptResult)) func() {
+func (x *shutdownTransport) Send(l *leaves.Member, _ *forward.LeafRequest, done func(forward.AttemptResult)) kernel.LeafAttempt {
 	x.end(errs.New(errs.KindShutdown, "send the request to another VM", "the process is shutting down"))
 	done(forward.AttemptResult{Reply: &forward.LeafReply{Status: 200, Signature: l.ID}, Sent: true, Latency: time.Millisecond})
-	return func() {}
+	return sentAttempt(func() {})
 }
 
 // Guards against an answer that is ready and is dropped, since the VM ends the request at the same moment.
@@ -256,3 +256,43 @@
 		require.Fail(t, "the request still waits")
 	}
 }
+
+// dialTransport opens connections for ever, except to the leaves of one service, which have the request and do not reply. It ends the
+// VM once the attempts are under way.
+type dialTransport struct {
+	partitionTransport
+	sent model.ServiceName
+	end  context.CancelCauseFunc
+}
+
+// unsentAttempt is an attempt whose connection is still being opened.
+type unsentAttempt struct{ sentAttempt }
+
+func (unsentAttempt) Withdraw() bool { return true }
+
+func (x *dialTransport) Send(l *leaves.Member, _ *forward.LeafRequest, done func(forward.AttemptResult)) kernel.LeafAttempt {
+	x.end(errs.New(errs.KindShutdown, "send the request to another VM", "the process is shutting down"))
+	sent := l.Service == x.sent
+	a := sentAttempt(func() { done(forward.AttemptResult{Err: errors.New("cancelled"), Sent: sent}) })
+	if sent {
+		return a
+	}
+	return unsentAttempt{a}
+}
+
+// Guards against 504 for a request whose connections to leaves are still being opened when the VM ends, and against 503 for one that
+// a leaf may have run.
+func TestUnsentRequestIsRefusedWhenTheVMEnds(t *testing.T) {
+	for sent, kind := range map[model.ServiceName]forward.Kind{"": forward.KindRefused, "b": forward.KindTimeout} {
+		m, _ := newPartitionModule(t)
+		ctx, end := context.WithCancelCause(context.Background())
+		m.transport = &dialTransport{sent: sent, end: end}
+		now := time.Now()
+		r := m.Forward(ctx, &forward.Request{ID: "x", Host: "h", Path: "/", Received: now, Deadline: now.Add(time.Second)})
+		require.Equal(t, kind, r.Kind, r.Reason)
+		if kind == forward.KindRefused {
+			require.True(t, r.TryAnotherVM)
+			require.Positive(t, r.RetryAfter)
+		}
+	}
+}
--- a/internal/modules/forwarder/runner.go
+++ b/internal/modules/forwarder/runner.go
@@ -11,6 +11,7 @@
 
 	"github.com/chestnuttiller/chestnuttiller/internal/errs"
 	"github.com/chestnuttiller/chestnuttiller/internal/forward"
+	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
 	"github.com/chestnuttiller/chestnuttiller/internal/routes"
@@ -35,16 +36,16 @@
 	attempts []*attempt
 }
 
-// attempt is one attempt that was passed to the transport. Only cancelled and ended change later; ended is used on the
+// attempt is one attempt that was passed to the transport. Only cancelled, withdrawn and ended change later; ended is used on the
 // goroutine of the request.
 type attempt struct {
 	part, index int
 	leaf        *leaves.Member
 	startedAt   time.Time
-	cancel      func()
-	// cancelled is guarded by the module's lock.
-	cancelled bool
-	ended     bool
+	handle      kernel.LeafAttempt
+	// cancelled and withdrawn are guarded by the module's lock.
+	cancelled, withdrawn bool
+	ended                bool
 }
 
 type attemptResult struct {
@@ -150,17 +151,19 @@
 	m.prune(now)
 	m.mu.Unlock()
 	req := &forward.LeafRequest{Request: r.req, Leaf: s.Leaf.ID, Until: s.Until, Repeatable: r.route.Repeatable}
-	a.cancel = m.transport.Send(s.Leaf, req, func(result forward.AttemptResult) { r.finished(a, result) })
+	a.handle = m.transport.Send(s.Leaf, req, func(result forward.AttemptResult) { r.finished(a, result) })
 }
 
 // finished records the result of an attempt on the goroutine of its connection, possibly after the request has finished.
 func (r *runner) finished(a *attempt, result forward.AttemptResult) {
 	m := r.module
 	m.mu.Lock()
-	if a.cancelled {
+	// A connection that could not be opened counts against the leaf although the attempt was withdrawn meanwhile.
+	cancelled := a.cancelled || a.withdrawn && !result.Refused
+	if cancelled {
 		m.metrics.cancelled.Inc(1)
 	}
-	verdict := m.tracker.AttemptEnded(m.now(), r.route.Name, a.leaf, a.startedAt, &result, a.cancelled)
+	verdict := m.tracker.AttemptEnded(m.now(), r.route.Name, a.leaf, a.startedAt, &result, cancelled)
 	m.startReports()
 	m.waiters.wake(a.leaf.Service)
 	m.mu.Unlock()
@@ -189,7 +192,7 @@
 	r.module.mu.Lock()
 	a.cancelled = true
 	r.module.mu.Unlock()
-	a.cancel()
+	a.handle.Cancel()
 }
 
 // updateQueues enters the request into the queues of the services whose leaves have no available connection, and
@@ -325,6 +328,18 @@
 	}()
 }
 
+// Withdraw implements forward.Env.
+func (r *runner) Withdraw(part, index int) bool {
+	i := slices.IndexFunc(r.attempts, func(a *attempt) bool { return a.part == part && a.index == index })
+	if i < 0 || !r.attempts[i].handle.Withdraw() {
+		return false
+	}
+	r.module.mu.Lock()
+	r.attempts[i].withdrawn = true
+	r.module.mu.Unlock()
+	return true
+}
+
 // SeenLatency implements forward.Env.
 func (r *runner) SeenLatency() forward.SeenLatency {
 	m := r.module
--- a/internal/modules/forwarder/zones_test.go
+++ b/internal/modules/forwarder/zones_test.go
@@ -22,15 +22,21 @@
 // partitionTransport replies for the leaves of the zone "own", and for all others unless a network partition cuts them off.
 type partitionTransport struct{ partitioned atomic.Bool }
 
-func (x *partitionTransport) Send(l *leaves.Member, _ *forward.LeafRequest, done func(forward.AttemptResult)) func() {
+// sentAttempt is an attempt that was sent. It is the function that cancels it.
+type sentAttempt func()
+
+func (cancel sentAttempt) Cancel() { cancel() }
+func (sentAttempt) Withdraw() bool { return false }
+
+func (x *partitionTransport) Send(l *leaves.Member, _ *forward.LeafRequest, done func(forward.AttemptResult)) kernel.LeafAttempt {
 	if l.AvailabilityZone == "own" || !x.partitioned.Load() {
 		done(forward.AttemptResult{Reply: &forward.LeafReply{Status: 200, Signature: l.ID}, Sent: true, Latency: time.Millisecond})
-		return func() {}
+		return sentAttempt(func() {})
 	}
 	started := time.Now()
-	return func() {
+	return sentAttempt(func() {
 		done(forward.AttemptResult{Err: errors.New("cancelled"), Sent: true, Latency: time.Since(started)})
-	}
+	})
 }
 
 func (x *partitionTransport) CheckReachable(context.Context, *leaves.Member) error {
--- a/internal/modules/leafpool/conn.go
+++ b/internal/modules/leafpool/conn.go
@@ -22,10 +22,13 @@
 	stopDial func()
 	refused  bool
 
-	mu        sync.Mutex
-	conn      *conn
-	cancelled bool
-	finished  bool
+	mu   sync.Mutex
+	conn *conn
+	// begun reports whether bytes of the request may have been written. Writing does not begin once the attempt is cancelled or
+	// withdrawn.
+	begun                bool
+	cancelled, withdrawn bool
+	finished             bool
 }
 
 // finish reports the result of the attempt. Only the first call has an effect.
@@ -39,8 +42,8 @@
 	}
 }
 
-// cancel ends the attempt by closing its connection, which also notifies the leaf.
-func (a *attempt) cancel() {
+// Cancel implements kernel.LeafAttempt. The close of the connection also notifies the leaf.
+func (a *attempt) Cancel() {
 	a.mu.Lock()
 	a.cancelled = true
 	c := a.conn
@@ -55,6 +58,26 @@
 	}
 }
 
+// Withdraw implements kernel.LeafAttempt. The connection that is being opened is not stopped: whether it succeeds is evidence about
+// the leaf.
+func (a *attempt) Withdraw() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.withdrawn = a.withdrawn || !a.begun
+	return a.withdrawn
+}
+
+// begin reports whether the request may be written to a connection, and records that it is.
+func (a *attempt) begin(c *conn) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.cancelled || a.withdrawn {
+		return false
+	}
+	a.conn, a.begun = c, true
+	return true
+}
+
 // conn is one connection to a leaf. A goroutine always reads from it, so that a close, and bytes that belong to no
 // request, are detected immediately.
 type conn struct {
@@ -96,25 +119,22 @@
 // start does not block.
 func (c *conn) start(a *attempt) {
 	m := c.pool.module
-	a.mu.Lock()
-	cancelled := a.cancelled
-	a.conn = c
-	a.mu.Unlock()
-	if cancelled {
-		c.finishUnsent(a, errs.New(errs.KindUnavailable, "no action is needed", "the attempt was cancelled before it was sent"))
-		return
-	}
 	a.req.TimeLeft = a.req.Until.Sub(m.now())
 	data := m.protocol.AppendRequest(nil, a.req)
 	c.mu.Lock()
 	ended := c.ended
-	if !ended {
+	begun := !ended && a.begin(c)
+	if begun {
 		c.current, c.written, c.lastID = a, false, a.req.ID
 	}
 	c.mu.Unlock()
-	if ended {
+	switch {
+	case ended:
 		c.finishUnsent(a, errs.New(errs.KindUnavailable, "send the request to another leaf", "leaf %s closed the connection before the request was sent", c.pool.leaf.ID))
 		return
+	case !begun:
+		c.finishUnsent(a, errs.New(errs.KindUnavailable, "no action is needed", "the attempt was cancelled before it was sent"))
+		return
 	}
 	if c.net.SetDeadline(a.req.Until.Add(replyGrace)) != nil {
 		return // The connection has been closed meanwhile, and the reading goroutine reports it.
--- a/internal/modules/leafpool/leafpool_test.go
+++ b/internal/modules/leafpool/leafpool_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -87,7 +88,7 @@
 func send(m *Module, l *leaves.Member, id string) (chan forward.AttemptResult, func()) {
 	done := make(chan forward.AttemptResult, 1)
 	req := &forward.LeafRequest{Request: &forward.Request{ID: id}, Until: time.Now().Add(5 * time.Second), Repeatable: true}
-	return done, m.Send(l, req, func(e forward.AttemptResult) { done <- e })
+	return done, m.Send(l, req, func(e forward.AttemptResult) { done <- e }).Cancel
 }
 
 // Guards against a new connection for each request, and against more connections than the VM's limit.
@@ -398,9 +399,9 @@
 	m := newModule(t, l, 1)
 	available := make(chan int, 1)
 	req := &forward.LeafRequest{Request: &forward.Request{ID: "a"}, Until: time.Now().Add(5 * time.Second)}
-	cancel := m.Send(l, req, func(forward.AttemptResult) { available <- m.AvailableConnections(l) })
+	sent := m.Send(l, req, func(forward.AttemptResult) { available <- m.AvailableConnections(l) })
 	require.Eventually(t, func() bool { return m.AvailableConnections(l) == 0 }, 5*time.Second, time.Millisecond)
-	cancel()
+	sent.Cancel()
 	require.Equal(t, 1, <-available, "cancelled")
 }
 
@@ -409,6 +410,7 @@
 func TestEndedConnectionIsNotCountedWhenAnUnsentAttemptIsReported(t *testing.T) {
 	for name, prepare := range map[string]func(*conn, *attempt){
 		"cancelled":          func(_ *conn, a *attempt) { a.cancelled = true },
+		"withdrawn":          func(_ *conn, a *attempt) { require.True(t, a.Withdraw()) },
 		"closed by the leaf": func(c *conn, _ *attempt) { c.fail(io.EOF)() },
 	} {
 		l, _ := startLeaf(t, echo)
@@ -433,3 +435,46 @@
 		require.Equal(t, 1, <-available, name)
 	}
 }
+
+// Guards against a request that is written after it was withdrawn as not sent, and against one that is withdrawn although it may have
+// been written.
+func TestWithdrawnAttemptIsNotWritten(t *testing.T) {
+	received := make(chan string, 1)
+	l, _ := startLeaf(t, func(_ net.Conn, r *bufio.Reader) {
+		line, err := r.ReadString('\n')
+		if err == nil {
+			received <- line
+		}
+	})
+	outcomes := map[bool]int{}
+	for i := range 400 {
+		m := newModule(t, l, 1)
+		opening, open := make(chan struct{}), make(chan struct{})
+		m.dialer.Control = func(string, string, syscall.RawConn) error {
+			close(opening)
+			<-open
+			return nil
+		}
+		done := make(chan forward.AttemptResult, 1)
+		req := &forward.LeafRequest{Request: &forward.Request{ID: "a"}, Until: time.Now().Add(5 * time.Second)}
+		a := m.Send(l, req, func(r forward.AttemptResult) { done <- r })
+		<-opening
+		if i%2 == 0 {
+			require.True(t, a.Withdraw(), "the connection is still being opened")
+			close(open)
+		} else {
+			close(open)
+			time.Sleep(time.Duration(i) * time.Microsecond)
+		}
+		withdrawn := a.Withdraw()
+		outcomes[withdrawn]++
+		require.Equal(t, !withdrawn, (<-done).Sent)
+		if !withdrawn {
+			require.Equal(t, "a\n", <-received)
+			require.False(t, a.Withdraw(), "the leaf has the request")
+		}
+		require.Empty(t, received)
+	}
+	require.Positive(t, outcomes[false])
+	require.Positive(t, outcomes[true])
+}
--- a/internal/modules/leafpool/module.go
+++ b/internal/modules/leafpool/module.go
@@ -214,7 +214,7 @@
 }
 
 // Send implements kernel.LeafTransport.
-func (m *Module) Send(l *leaves.Member, req *forward.LeafRequest, done func(forward.AttemptResult)) (cancel func()) {
+func (m *Module) Send(l *leaves.Member, req *forward.LeafRequest, done func(forward.AttemptResult)) kernel.LeafAttempt {
 	a := &attempt{module: m, req: req, started: m.now(), done: done}
 	limit := m.limit(l)
 	m.mu.Lock()
@@ -247,7 +247,7 @@
 		a.stopDial = stop
 		go p.dial(ctx, a)
 	}
-	return a.cancel
+	return a
 }
 
 // CheckReachable implements kernel.LeafTransport.
