Send a request again if no byte of it could be written

A request that may run only once got 502 when the leaf had reset its kept connection, or the connection was closed, just before the request was written. Not a byte had been accepted by the operating system, so that another leaf could have run it.

The reading goroutine reported each failure after the choice of the connection as sent. The deadline of the connection is now set before the attempt is bound to it, and a failure waits for the write, which the close of the connection ends, and reports the attempt as not sent if the write accepted no byte. With a part written it still counts as sent.

TestRequestIsUnsentIfNoByteWasWritten failed before ("1 bytes, {accepted:0 resetDuringWrite:false closedBeforeWrite:false}: expected: false, actual: true").

--- a/internal/modules/leafpool/conn.go
+++ b/internal/modules/leafpool/conn.go
@@ -91,14 +91,16 @@
 	// usableUntil is the time from which the idle connection is not used again: idleMargin before the leaf may close it, or
 	// surplusIdleTimeout after its last use if the leaf is not preferred. It is zero when neither applies.
 	usableUntil time.Time
-	// writing is held while a request that fits the socket buffer is written. The reply to it can be read before the write
-	// has returned.
+	// writing is held while a request of at most maxInlineBytes is written. The reply to it can be read, and the connection can fail,
+	// before the write has returned.
 	writing sync.Mutex
 
 	mu      sync.Mutex
 	current *attempt
-	// written reports whether the whole request has been written.
-	written bool
+	// written reports whether the whole request has been written, and unsent whether its write has failed without a byte.
+	written, unsent bool
+	// writeEnded is closed once the write of a request of more than maxInlineBytes has returned. It is nil for other requests.
+	writeEnded chan struct{}
 	// ended reports whether no more replies are read.
 	ended bool
 	// used reports whether a reply has been received on the connection.
@@ -121,11 +123,19 @@
 	m := c.pool.module
 	a.req.TimeLeft = a.req.Until.Sub(m.now())
 	data := m.protocol.AppendRequest(nil, a.req)
+	var writeEnded chan struct{}
+	if len(data) > maxInlineBytes {
+		writeEnded = make(chan struct{})
+	} else {
+		c.writing.Lock()
+		defer c.writing.Unlock()
+	}
+	closed := c.net.SetDeadline(a.req.Until.Add(replyGrace)) != nil
 	c.mu.Lock()
-	ended := c.ended
+	ended := c.ended || closed
 	begun := !ended && a.begin(c)
 	if begun {
-		c.current, c.written, c.lastID = a, false, a.req.ID
+		c.current, c.written, c.unsent, c.writeEnded, c.lastID = a, false, false, writeEnded, a.req.ID
 	}
 	c.mu.Unlock()
 	switch {
@@ -136,16 +146,14 @@
 		c.finishUnsent(a, errs.New(errs.KindUnavailable, "no action is needed", "the attempt was cancelled before it was sent"))
 		return
 	}
-	if c.net.SetDeadline(a.req.Until.Add(replyGrace)) != nil {
-		return // The connection has been closed meanwhile, and the reading goroutine reports it.
-	}
-	if len(data) > maxInlineBytes {
-		go c.write(data)
+	if writeEnded == nil {
+		c.write(data)
 		return
 	}
-	c.writing.Lock()
-	defer c.writing.Unlock()
-	c.write(data)
+	go func() {
+		defer close(writeEnded)
+		c.write(data)
+	}()
 }
 
 // finishUnsent closes the connection and reports that an attempt was not sent on it, once the connection is not counted any more.
@@ -158,14 +166,14 @@
 }
 
 func (c *conn) write(data []byte) {
-	if _, err := c.net.Write(data); err != nil {
+	n, err := c.net.Write(data)
+	c.mu.Lock()
+	c.written, c.unsent = err == nil, err != nil && n == 0
+	c.mu.Unlock()
+	if err != nil {
 		// The reading goroutine reports the failure, unless a reply arrived before it.
 		_ = c.net.Close()
-		return
 	}
-	c.mu.Lock()
-	c.written = true
-	c.mu.Unlock()
 }
 
 // read reads replies until the connection ends. It reports the result of the last attempt once the connection is not counted any
@@ -252,20 +260,34 @@
 
 // fail takes the attempt that waits for a reply from a connection that has ended, and returns the function that reports its failure.
 func (c *conn) fail(err error) (report func()) {
+	_ = c.net.Close() // A write that is under way ends; the caller closes the connection anyway.
+	c.writing.Lock()
 	c.mu.Lock()
-	a := c.current
+	c.writing.Unlock()
+	a, writeEnded := c.current, c.writeEnded
 	c.current, c.ended = nil, true
 	unused := !c.used
 	c.mu.Unlock()
 	if a == nil {
 		return func() {}
 	}
+	if writeEnded != nil {
+		<-writeEnded
+	}
+	c.mu.Lock()
+	unsent := c.unsent
+	c.mu.Unlock()
 	m := c.pool.module
 	m.metrics.broken.Inc(1)
 	// A leaf resets connections above its limit, possibly after the first request was sent.
 	a.mu.Lock()
 	a.refused = unused && !a.cancelled
 	a.mu.Unlock()
+	if unsent {
+		return func() {
+			a.finish(nil, errs.Wrap(err, errs.KindUnavailable, "send the request to another leaf", "no byte of the request could be written to leaf %s", c.pool.leaf.ID), false)
+		}
+	}
 	return func() {
 		a.finish(nil, errs.Wrap(err, errs.KindUnknownOutcome, "send the request again only if it is repeatable", "no complete reply from leaf %s", c.pool.leaf.ID), true)
 	}
--- a/internal/modules/leafpool/leafpool_test.go
+++ b/internal/modules/leafpool/leafpool_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -478,3 +479,78 @@
 	require.Positive(t, outcomes[false])
 	require.Positive(t, outcomes[true])
 }
+
+// writeFailure is how the writes on a connection fail.
+type writeFailure struct {
+	// accepted is how many bytes are written before the failure.
+	accepted int
+	// resetDuringWrite lets reads fail before the write returns. closedBeforeWrite lets setting the deadline fail.
+	resetDuringWrite, closedBeforeWrite bool
+}
+
+// failingNet is a connection on which nothing is read.
+type failingNet struct {
+	net.Conn
+	writeFailure
+	written       atomic.Int32
+	reset, closed chan struct{}
+	closing       sync.Once
+}
+
+func (n *failingNet) SetDeadline(time.Time) error {
+	if n.closedBeforeWrite {
+		_ = n.Close() // It does not fail.
+		return net.ErrClosed
+	}
+	return nil
+}
+
+func (n *failingNet) Read([]byte) (int, error) {
+	select {
+	case <-n.reset:
+		return 0, syscall.ECONNRESET
+	case <-n.closed:
+		return 0, net.ErrClosed
+	}
+}
+
+func (n *failingNet) Write([]byte) (int, error) {
+	if n.resetDuringWrite {
+		close(n.reset)
+		time.Sleep(10 * time.Millisecond) // The reading goroutine notices the reset.
+	}
+	n.written.Add(int32(n.accepted))
+	return n.accepted, syscall.EPIPE
+}
+
+func (n *failingNet) Close() error {
+	n.closing.Do(func() { close(n.closed) })
+	return nil
+}
+
+// Guards against 502 for a request that may run only once and of which no byte was written, because its connection had been reset or
+// closed, and against one that counts as not sent although a part of it was written.
+func TestRequestIsUnsentIfNoByteWasWritten(t *testing.T) {
+	for _, failure := range []writeFailure{
+		{}, {accepted: 1}, {closedBeforeWrite: true}, {resetDuringWrite: true}, {resetDuringWrite: true, accepted: 1},
+	} {
+		for _, id := range []string{"a", strings.Repeat("a", 2*maxInlineBytes)} {
+			l, _ := startLeaf(t, echo)
+			m := newModule(t, l, 1)
+			m.mu.Lock()
+			p := m.poolOf(l)
+			p.open++
+			m.mu.Unlock()
+			n := &failingNet{writeFailure: failure, reset: make(chan struct{}), closed: make(chan struct{})}
+			c := newConn(p, n)
+			go c.read()
+			done := make(chan forward.AttemptResult, 1)
+			req := &forward.LeafRequest{Request: &forward.Request{ID: id}, Until: time.Now().Add(5 * time.Second)}
+			c.start(&attempt{module: m, req: req, started: time.Now(), done: func(r forward.AttemptResult) { done <- r }})
+			r := <-done
+			require.Error(t, r.Err)
+			require.Equal(t, failure.accepted > 0, r.Sent, "%d bytes, %+v", len(id), failure)
+			require.EqualValues(t, failure.accepted, n.written.Load())
+		}
+	}
+}
