Refuse a request early after an attempt that was not sent

A request whose only attempt found no connection (all were taken meanwhile, or none could be opened) and that then waited for an available one got its 503 at its deadline, too late to be served by another VM, instead of after a quarter of the objective.

The run took an attempt for sent from the moment at which it was chosen. It now counts as unsent again once all its attempts have ended without a byte that may have reached a leaf.

TestRequestIsRefusedEarlyAfterAnAttemptThatWasNotSent failed before (no response at 100 ms, the route's timeout is 1 s) and passes, as do the tests of internal/forward and internal/modules/forwarder with -race.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
@@ -110,6 +111,7 @@
 	// endBy is when the VM answers at the latest because it is shutting down, if that is before the deadline of the request.
 	endBy         time.Time
 	answeredParts int
+	// sent reports whether an attempt may have reached a leaf.
 	sent          bool
 	anyMayHaveRun bool
 }
@@ -383,6 +385,9 @@
 		a.status = result.Reply.Status
 	}
 	r.anyMayHaveRun = r.anyMayHaveRun || a.mayHaveRun
+	if !a.sent {
+		r.sent = slices.ContainsFunc(r.parts, func(p part) bool { return p.mayHaveArrived() })
+	}
 	if !a.mayHaveRun {
 		// No leaf ran this attempt. If it was a hedge, the slow attempt may be hedged again.
 		for j := range p.attempts {
--- a/internal/forward/run_test.go
+++ b/internal/forward/run_test.go
@@ -449,3 +449,23 @@
 		}
 	}
 }
+
+// Guards against a request that waits for an available connection until its deadline, because an attempt was chosen that could not be
+// sent.
+func TestRequestIsRefusedEarlyAfterAnAttemptThatWasNotSent(t *testing.T) {
+	for _, repeatable := range []bool{true, false} {
+		e := newEnv("a")
+		r := newRun(singleRoute(repeatable), e)
+		sends, _, _ := r.Step(start)
+		require.Len(t, sends, 1)
+		e.full = map[string]bool{"a1": true, "a2": true, "a3": true}
+		r.AttemptEnded(0, 0, AttemptResult{Err: errors.New("all connections are busy")})
+		sends, response, wake := r.Step(at(1))
+		require.Empty(t, sends)
+		require.Nil(t, response)
+		require.Equal(t, at(100), wake)
+		_, response, _ = r.Step(wake)
+		require.NotNil(t, response, "the route's timeout is 1 s")
+		require.Equal(t, KindRefused, response.Kind)
+	}
+}
