Answer requests whose bodies are still arriving when the VM ends

A caller whose body had not arrived in full at the end of a stop lost its connection without an answer, if its request had begun before the stop, although the request had not been passed on. Requests that begin during a drain were answered 408.

The end of all requests cancelled their contexts, which a read of the body does not notice. It now also lets the reads of unfinished bodies fail, so that the request gets 408, which states that it has not run. A body that has ended is left alone: net/http reads on to notice when the caller disconnects, and would take the deadline for that. Between the last byte and the note that the body has ended, a deadline still does this, as that of body_timeout did before; such a request is not passed on.

TestRequestWithAnUnfinishedBodyIsAnsweredBeforeItsVMEnds failed before ("unexpected EOF") and passes with -race; so do the tests of internal/httpserver.

--- a/internal/httpserver/generation.go
+++ b/internal/httpserver/generation.go
@@ -54,8 +54,11 @@
 			bodyTimeout = left
 		}
 	}
-	if bodyTimeout > 0 && r.ContentLength != 0 {
-		r.Body = newTimedBody(w, r.Body, bodyTimeout)
+	if r.ContentLength != 0 {
+		b := newTimedBody(w, r.Body, bodyTimeout)
+		defer b.end()
+		defer context.AfterFunc(g.parent.requests, b.expire)()
+		r.Body = b
 	}
 	g.parent.handler.ServeHTTP(w, r)
 	c.setRequestState(requestAnswered)
@@ -101,18 +104,41 @@
 type timedBody struct {
 	io.ReadCloser
 	connection *http.ResponseController
+
+	mu sync.Mutex
+	// ended reports whether the body is not read any more.
+	ended bool
 }
 
+// newTimedBody returns the body of a request that has to end within the timeout; 0 is no limit.
 func newTimedBody(w http.ResponseWriter, body io.ReadCloser, timeout time.Duration) *timedBody {
-	b := &timedBody{body, http.NewResponseController(w)}
-	_ = b.connection.SetReadDeadline(time.Now().Add(timeout)) // A connection that has been closed needs no deadline.
+	b := &timedBody{ReadCloser: body, connection: http.NewResponseController(w)}
+	if timeout > 0 {
+		_ = b.connection.SetReadDeadline(time.Now().Add(timeout)) // A connection that has been closed needs no deadline.
+	}
 	return b
 }
 
+// expire lets the read of an unfinished body fail now. A deadline after its end would look like a caller that has disconnected.
+func (b *timedBody) expire() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.ended {
+		_ = b.connection.SetReadDeadline(time.Now()) // As in newTimedBody.
+	}
+}
+
+func (b *timedBody) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ended = true
+}
+
 // Read implements io.Reader.
 func (b *timedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
+		b.end()
 		// net/http goes on reading to notice when the caller disconnects.
 		_ = b.connection.SetReadDeadline(time.Time{}) // As above.
 	}
