Do not take a second copy of "not run" for the reply to a repeated request

A safe request could get 503, which states that it has not run, although it had: its leaf turned it away, got it again on the same connection a round later, and sent a second copy of the first reply before the answer. Requests that may run only once already used another connection then.

A connection whose last reply stated of a request that it was not run does not carry the next attempt of the same request, whether that may run once or more often. Another idle connection is used if there is one, where until now the connection was closed at once; otherwise the connection is replaced. After an answer the connections of repeatable requests are used as before.

--- a/internal/modules/leafpool/conn.go
+++ b/internal/modules/leafpool/conn.go
@@ -105,8 +105,9 @@
 	ended bool
 	// used reports whether a reply has been received on the connection.
 	used bool
-	// lastID is the ID of the last request on the connection.
-	lastID string
+	// lastID is the ID of the last request on the connection, and lastNotRun whether the reply to it stated that it was not run.
+	lastID     string
+	lastNotRun bool
 }
 
 // readBufferBytes is enough for the replies of most leaves.
@@ -224,6 +225,14 @@
 	return c.used
 }
 
+// mayRepeatReply reports whether a second copy of the last reply could be taken for the reply to a request, although it is no answer to
+// it: it states of an earlier attempt that it was not run, or the request may run only once.
+func (c *conn) mayRepeatReply(req *forward.LeafRequest) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.used && c.lastID == req.ID && (c.lastNotRun || !req.Repeatable)
+}
+
 func (c *conn) currentAttempt() *attempt {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -240,7 +249,7 @@
 	// After a reply that arrived before the whole request was written, the rest of the request would still have to be sent. A
 	// second copy of a reply that names no attempt could not be told from the next reply.
 	reusable = reusable && reply.Identified && c.written && c.reader.Buffered() == 0
-	c.current, c.ended, c.used = nil, !reusable, true
+	c.current, c.ended, c.used, c.lastNotRun = nil, !reusable, true, reply.NotRun
 	c.mu.Unlock()
 	if !reusable {
 		return false
--- a/internal/modules/leafpool/leafpool_test.go
+++ b/internal/modules/leafpool/leafpool_test.go
@@ -554,3 +554,60 @@
 		}
 	}
 }
+
+// refusingProtocol is lineProtocol with replies that begin with a minus sign and state that the request was not run.
+type refusingProtocol struct{ lineProtocol }
+
+func (refusingProtocol) ReadReply(r *bufio.Reader, req *forward.LeafRequest) (*forward.LeafReply, bool, error) {
+	line, err := r.ReadString('\n')
+	if err != nil {
+		return nil, false, err
+	}
+	id, notRun := strings.CutPrefix(strings.TrimSpace(line), "-")
+	return &forward.LeafReply{Status: 200, Signature: "s", NotRun: notRun, Identified: id == req.ID}, true, nil
+}
+
+// Guards against 503 for a repeatable request that has run, because a second copy of "not run" on the connection of an earlier attempt
+// was taken for the reply to a later one; and against connections of other requests that are closed to prevent it.
+func TestSecondCopyOfARefusalDoesNotAnswerARepeatedRequest(t *testing.T) {
+	for _, others := range []int{0, 1} {
+		var ran, refused atomic.Int32
+		l, count := startLeaf(t, func(c net.Conn, r *bufio.Reader) {
+			copied := ""
+			for {
+				line, err := r.ReadString('\n')
+				if err != nil {
+					return
+				}
+				switch {
+				case line == "b\n":
+					time.Sleep(20 * time.Millisecond) // The other request gets a connection of its own.
+				case refused.Add(1) == 1:
+					copied = "-" + line
+					line = copied
+				default:
+					ran.Add(1)
+					line = copied + line
+				}
+				_, _ = c.Write([]byte(line)) // The test detects a missing reply.
+			}
+		})
+		m := newModule(t, l, 10)
+		m.protocol = refusingProtocol{}
+		var done []chan forward.AttemptResult
+		for range others {
+			d, _ := send(m, l, "b")
+			done = append(done, d)
+		}
+		d, _ := send(m, l, "a")
+		require.True(t, (<-d).Reply.NotRun)
+		for _, d := range done {
+			require.NotNil(t, (<-d).Reply)
+		}
+		d, _ = send(m, l, "a")
+		r := <-d
+		require.EqualValues(t, 1, ran.Load())
+		require.True(t, r.MayHaveRun(), "the leaf has run it")
+		require.EqualValues(t, 2, count.Load())
+	}
+}
--- a/internal/modules/leafpool/pool.go
+++ b/internal/modules/leafpool/pool.go
@@ -36,22 +36,28 @@
 }
 
 // takeIdle removes and returns an idle connection that the leaf is expected to keep open long enough, or returns nil. It
-// closes the other ones that it finds. A request that may run only once does not use a connection on which it was sent before: a
-// second copy of the reply that it has not run would state the same of this attempt. replaced reports whether a connection was
-// closed for this reason. The caller holds the lock.
+// closes those that it finds and that the leaf is not. It skips those on which a second copy of the last reply could be taken for the
+// reply to the request. replaced reports whether one was closed because all were of this kind. The caller holds the lock.
 func (p *pool) takeIdle(now time.Time, req *forward.LeafRequest) (taken *conn, replaced bool) {
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-		sentBefore := !req.Repeatable && c.lastID == req.ID
-		if !sentBefore && (c.usableUntil.IsZero() || now.Before(c.usableUntil)) {
-			return c, replaced
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		usable := c.usableUntil.IsZero() || now.Before(c.usableUntil)
+		if usable && c.mayRepeatReply(req) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
+		if usable {
+			return c, false
 		}
-		replaced = replaced || sentBefore
 		// The reading goroutine removes the connection from the count once it is closed.
 		go c.net.Close()
 	}
-	return nil, replaced
+	if n := len(p.idle); n > 0 {
+		go p.idle[n-1].net.Close() // As above.
+		p.idle = p.idle[:n-1]
+		return nil, true
+	}
+	return nil, false
 }
 
 // retire removes and returns the idle connections, and lets the others be closed once they are idle. The caller holds the
