--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
@@ -38,6 +39,9 @@
 	// CountFirst counts a first attempt at a service. TryExtra counts an extra attempt if the budget of the service allows it.
 	CountFirst(now time.Time, service model.ServiceName)
 	TryExtra(now time.Time, service model.ServiceName, hedge bool) Extra
+	// Withdraw reports whether no byte of an attempt that has not ended has been sent, and none ever will be. The attempt is given
+	// by number, as in Send.
+	Withdraw(part, attempt int) bool
 	// HedgeDelay returns how long an attempt may be unanswered before the request is sent to another leaf as well.
 	HedgeDelay() time.Duration
 	// SeenLatency returns what this VM has seen of the latency of the route.
@@ -107,6 +111,7 @@
 	// endBy is when the VM answers at the latest because it is shutting down, if that is before the deadline of the request.
 	endBy         time.Time
 	answeredParts int
+	// sent reports whether an attempt may have reached a leaf.
 	sent          bool
 	anyMayHaveRun bool
 }
@@ -175,7 +180,7 @@
 			wake = earlier(wake, partWake)
 		}
 	}
-	if response = r.finish(now, open); response != nil {
+	if response = r.finish(now, open, sends); response != nil {
 		return nil, response, now
 	}
 	if r.hasEnough() {
@@ -380,6 +385,9 @@
 		a.status = result.Reply.Status
 	}
 	r.anyMayHaveRun = r.anyMayHaveRun || a.mayHaveRun
+	if !a.sent {
+		r.sent = slices.ContainsFunc(r.parts, func(p part) bool { return p.mayHaveArrived() })
+	}
 	if !a.mayHaveRun {
 		// No leaf ran this attempt. If it was a hedge, the slow attempt may be hedged again.
 		for j := range p.attempts {
--- a/internal/modules/leafpool/conn.go
+++ b/internal/modules/leafpool/conn.go
@@ -22,10 +22,13 @@
 	stopDial func()
 	refused  bool
 
-	mu        sync.Mutex
-	conn      *conn
-	cancelled bool
-	finished  bool
+	mu   sync.Mutex
+	conn *conn
+	// begun reports whether bytes of the request may have been written. Writing does not begin once the attempt is cancelled or
+	// withdrawn.
+	begun                bool
+	cancelled, withdrawn bool
+	finished             bool
 }
 
 // finish reports the result of the attempt. Only the first call has an effect.
@@ -39,8 +42,8 @@
 	}
 }
 
-// cancel ends the attempt by closing its connection, which also notifies the leaf.
-func (a *attempt) cancel() {
+// Cancel implements kernel.LeafAttempt. The close of the connection also notifies the leaf.
+func (a *attempt) Cancel() {
 	a.mu.Lock()
 	a.cancelled = true
 	c := a.conn
@@ -55,6 +58,26 @@
 	}
 }
 
+// Withdraw implements kernel.LeafAttempt. The connection that is being opened is not stopped: whether it succeeds is evidence about
+// the leaf.
+func (a *attempt) Withdraw() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.withdrawn = a.withdrawn || !a.begun
+	return a.withdrawn
+}
+
+// begin reports whether the request may be written to a connection, and records that it is.
+func (a *attempt) begin(c *conn) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.cancelled || a.withdrawn {
+		return false
+	}
+	a.conn, a.begun = c, true
+	return true
+}
+
 // conn is one connection to a leaf. A goroutine always reads from it, so that a close, and bytes that belong to no
 // request, are detected immediately.
 type conn struct {
@@ -68,20 +91,23 @@
 	// usableUntil is the time from which the idle connection is not used again: idleMargin before the leaf may close it, or
 	// surplusIdleTimeout after its last use if the leaf is not preferred. It is zero when neither applies.
 	usableUntil time.Time
-	// writing is held while a request that fits the socket buffer is written. The reply to it can be read before the write
-	// has returned.
+	// writing is held while a request of at most maxInlineBytes is written. The reply to it can be read, and the connection can fail,
+	// before the write has returned.
 	writing sync.Mutex
 
 	mu      sync.Mutex
 	current *attempt
-	// written reports whether the whole request has been written.
-	written bool
+	// written reports whether the whole request has been written, and unsent whether its write has failed without a byte.
+	written, unsent bool
+	// writeEnded is closed once the write of a request of more than maxInlineBytes has returned. It is nil for other requests.
+	writeEnded chan struct{}
 	// ended reports whether no more replies are read.
 	ended bool
 	// used reports whether a reply has been received on the connection.
 	used bool
-	// lastID is the ID of the last request on the connection.
-	lastID string
+	// lastID is the ID of the last request on the connection, and lastNotRun whether the reply to it stated that it was not run.
+	lastID     string
+	lastNotRun bool
 }
 
 // readBufferBytes is enough for the replies of most leaves.
@@ -96,36 +122,39 @@
 // start does not block.
 func (c *conn) start(a *attempt) {
 	m := c.pool.module
-	a.mu.Lock()
-	cancelled := a.cancelled
-	a.conn = c
-	a.mu.Unlock()
-	if cancelled {
-		c.finishUnsent(a, errs.New(errs.KindUnavailable, "no action is needed", "the attempt was cancelled before it was sent"))
-		return
-	}
 	a.req.TimeLeft = a.req.Until.Sub(m.now())
 	data := m.protocol.AppendRequest(nil, a.req)
+	var writeEnded chan struct{}
+	if len(data) > maxInlineBytes {
+		writeEnded = make(chan struct{})
+	} else {
+		c.writing.Lock()
+		defer c.writing.Unlock()
+	}
+	closed := c.net.SetDeadline(a.req.Until.Add(replyGrace)) != nil
 	c.mu.Lock()
-	ended := c.ended
-	if !ended {
-		c.current, c.written, c.lastID = a, false, a.req.ID
+	ended := c.ended || closed
+	begun := !ended && a.begin(c)
+	if begun {
+		c.current, c.written, c.unsent, c.writeEnded, c.lastID = a, false, false, writeEnded, a.req.ID
 	}
 	c.mu.Unlock()
-	if ended {
+	switch {
+	case ended:
 		c.finishUnsent(a, errs.New(errs.KindUnavailable, "send the request to another leaf", "leaf %s closed the connection before the request was sent", c.pool.leaf.ID))
 		return
+	case !begun:
+		c.finishUnsent(a, errs.New(errs.KindUnavailable, "no action is needed", "the attempt was cancelled before it was sent"))
+		return
 	}
-	if c.net.SetDeadline(a.req.Until.Add(replyGrace)) != nil {
-		return // The connection has been closed meanwhile, and the reading goroutine reports it.
-	}
-	if len(data) > maxInlineBytes {
-		go c.write(data)
+	if writeEnded == nil {
+		c.write(data)
 		return
 	}
-	c.writing.Lock()
-	defer c.writing.Unlock()
-	c.write(data)
+	go func() {
+		defer close(writeEnded)
+		c.write(data)
+	}()
 }
 
 // finishUnsent closes the connection and reports that an attempt was not sent on it, once the connection is not counted any more.
@@ -138,14 +167,14 @@
 }
 
 func (c *conn) write(data []byte) {
-	if _, err := c.net.Write(data); err != nil {
+	n, err := c.net.Write(data)
+	c.mu.Lock()
+	c.written, c.unsent = err == nil, err != nil && n == 0
+	c.mu.Unlock()
+	if err != nil {
 		// The reading goroutine reports the failure, unless a reply arrived before it.
 		_ = c.net.Close()
-		return
 	}
-	c.mu.Lock()
-	c.written = true
-	c.mu.Unlock()
 }
 
 // read reads replies until the connection ends. It reports the result of the last attempt once the connection is not counted any
@@ -196,6 +225,14 @@
 	return c.used
 }
 
+// mayRepeatReply reports whether a second copy of the last reply could be taken for the reply to a request, although it is no answer to
+// it: it states of an earlier attempt that it was not run, or the request may run only once.
+func (c *conn) mayRepeatReply(req *forward.LeafRequest) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.used && c.lastID == req.ID && (c.lastNotRun || !req.Repeatable)
+}
+
 func (c *conn) currentAttempt() *attempt {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -212,7 +249,7 @@
 	// After a reply that arrived before the whole request was written, the rest of the request would still have to be sent. A
 	// second copy of a reply that names no attempt could not be told from the next reply.
 	reusable = reusable && reply.Identified && c.written && c.reader.Buffered() == 0
-	c.current, c.ended, c.used = nil, !reusable, true
+	c.current, c.ended, c.used, c.lastNotRun = nil, !reusable, true, reply.NotRun
 	c.mu.Unlock()
 	if !reusable {
 		return false
@@ -232,20 +269,34 @@
 
 // fail takes the attempt that waits for a reply from a connection that has ended, and returns the function that reports its failure.
 func (c *conn) fail(err error) (report func()) {
+	_ = c.net.Close() // A write that is under way ends; the caller closes the connection anyway.
+	c.writing.Lock()
 	c.mu.Lock()
-	a := c.current
+	c.writing.Unlock()
+	a, writeEnded := c.current, c.writeEnded
 	c.current, c.ended = nil, true
 	unused := !c.used
 	c.mu.Unlock()
 	if a == nil {
 		return func() {}
 	}
+	if writeEnded != nil {
+		<-writeEnded
+	}
+	c.mu.Lock()
+	unsent := c.unsent
+	c.mu.Unlock()
 	m := c.pool.module
 	m.metrics.broken.Inc(1)
 	// A leaf resets connections above its limit, possibly after the first request was sent.
 	a.mu.Lock()
 	a.refused = unused && !a.cancelled
 	a.mu.Unlock()
+	if unsent {
+		return func() {
+			a.finish(nil, errs.Wrap(err, errs.KindUnavailable, "send the request to another leaf", "no byte of the request could be written to leaf %s", c.pool.leaf.ID), false)
+		}
+	}
 	return func() {
 		a.finish(nil, errs.Wrap(err, errs.KindUnknownOutcome, "send the request again only if it is repeatable", "no complete reply from leaf %s", c.pool.leaf.ID), true)
 	}
