Demote a voter above max_voters once all voters answer

Operators saw: after the disks of a group's members had been full in turn, all four control VMs were voters although max_voters was 3. A quorum was three instead of two, and no learner was left to replace the next lost voter. The group stayed like this for good. The same followed when max_voters was lowered.

Cause: a voter that was silent for replace_after is replaced by promoting a learner and then removing the voter. If the voter is back between the two changes, it is no longer unresponsive, and only an unresponsive voter was ever removed as surplus.

Change: a new membership change, Demote, turns a voter into a learner, so that the VM keeps its data and may replace the next loss. The leader proposes it while there are more voters than the limit, one change at a time and never for itself: first for a voter with a full disk, then for the one that has synced the least. All voters have to have answered this leader within an election timeout. An unresponsive voter is the one to remove, and a new leader counts all members as responsive at first; demoting a responsive voter then could leave no quorum. A demoted replica is not promoted again while the limit is reached.

Tests: TestVoterBackBeforeItsRemoval, TestLoweredVoterLimit, TestLeaderIsNotDemoted, and the property TestVoterLimitHoldsAfterFaults: after random faults and a quiet time, all replicas are members, the number of voters is the limit, and an idle group changes no more. For it, the simulation lets a voter without a leader ask to join again, as the module control.log does. TestDisksFullInTurn now requires exactly max_voters voters; it allowed more because of this fault.

--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"flag"
+	"fmt"
 	"os"
 	"slices"
 	"testing"
@@ -47,6 +48,45 @@
 	})
 }
 
+// Guards against a group that is left with more or fewer voters than its limit after faults, for good or in turns, when voters are
+// replaced while they are silent, come back at any moment, and the limit is lowered. No quorum is lost on the way.
+func TestVoterLimitHoldsAfterFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		voters := rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "voters")
+		seed := binary.LittleEndian.Uint64(rapid.SliceOfN(rapid.Byte(), 8, 8).Draw(t, "seed"))
+		s := newSim(t, seed, voters)
+		s.maxVoters = rapid.SampledFrom([]int{3, voters}).Draw(t, "max voters")
+		s.replaceAfter = rapid.SampledFrom([]int{12, 20, 40}).Draw(t, "replace after")
+		for _, r := range s.replicas {
+			r.node.cfg.MaxVoters, r.node.cfg.ReplaceAfterTicks = s.maxVoters, s.replaceAfter
+		}
+		for i := range rapid.IntRange(0, 2).Draw(t, "spare VMs") {
+			s.start(s.newReplica(model.VMName(fmt.Sprintf("spare-%d", i))))
+		}
+		s.loss = rapid.SampledFrom([]float64{0, 0.02, 0.1}).Draw(t, "loss")
+		crashes := rapid.SampledFrom([]int{0, 2, 8}).Draw(t, "crashes")
+		for range rapid.SampledFrom([]int{500, 2000, 6000}).Draw(t, "steps") {
+			s.step(crashes, false, voters)
+		}
+		s.heal()
+		for range 3 * s.replaceAfter {
+			s.round()
+		}
+		s.until("all replicas are members, and the number of voters is the limit", func() bool {
+			return s.voterLimitHolds() && len(s.leader().node.members()) == len(s.replicas) && s.converged()
+		})
+		leader, members := s.leader(), s.leader().node.Status().Members
+		for range 3 * s.replaceAfter {
+			s.round()
+		}
+		if l := s.leader(); l != leader || !slices.Equal(members, l.node.Status().Members) {
+			t.Fatalf("an idle group changed from %v under %s to %v under %s", members, leader.id, l.node.Status().Members, l.id)
+		}
+		s.until("a proposal is accepted", func() bool { return s.propose(s.leader()) })
+		s.until("a new entry is applied everywhere", s.converged)
+	})
+}
+
 // step performs one random action or fault.
 func (s *sim) step(crashes int, lostDisks bool, voters int) {
 	live := s.live()
@@ -316,6 +356,96 @@
 	require.True(t, s.propose(s.leader()))
 }
 
+// Guards against a group that keeps one voter more than its limit because a voter is back between the promotion of its replacement
+// and its own removal. A quorum would be larger, and no learner would be left to replace the next loss.
+func TestVoterBackBeforeItsRemoval(t *testing.T) {
+	s := healthy(t, 3)
+	s.maxVoters, s.replaceAfter = 3, 40
+	for _, r := range s.replicas {
+		r.node.cfg.MaxVoters, r.node.cfg.ReplaceAfterTicks = s.maxVoters, s.replaceAfter
+	}
+	spare := s.newReplica("vm-9")
+	s.start(spare)
+	s.until("the spare VM is a learner", func() bool { return len(s.leader().node.members()) == 4 })
+	s.until("all are idle", s.converged)
+	leader := s.leader()
+	var silent *simReplica
+	for _, r := range s.replicas {
+		if r != leader && r != spare {
+			silent = r
+		}
+	}
+	silent.paused = true
+	s.until("the voter counts as lost", func() bool { return leader.node.progress[silent.id].ticksSinceContact >= s.replaceAfter-1 })
+	s.stalled = spare // The promotion of the learner is not committed before the voter is back.
+	s.until("the learner is promoted", func() bool { return leader.node.isVoter(spare.id) })
+	silent.paused = false
+	s.until("the voter is back", func() bool { return leader.node.responsive(leader.node.progress[silent.id]) })
+	s.stalled = nil
+	s.until("a voter is a learner again", s.voterLimitHolds)
+	require.Len(t, leader.node.members(), 4, "no VM leaves the group")
+	last := leader.node.memberships[len(leader.node.memberships)-1].index
+	s.proposeMany(t, 100)
+	require.Equal(t, leader, s.leader())
+	require.Equal(t, last, leader.node.memberships[len(leader.node.memberships)-1].index, "the voters change again")
+}
+
+// Guards against voters above a limit that was lowered, and against a demotion that loses a quorum: while a voter is silent, or
+// has not answered a new leader, no responsive one is demoted.
+func TestLoweredVoterLimit(t *testing.T) {
+	s := healthy(t, 5)
+	s.until("all are idle", s.converged)
+	old := s.leader()
+	require.NoError(t, old.node.TransferLeadership())
+	var silent *simReplica
+	for _, r := range s.replicas {
+		if r != old && r.id != old.node.transferTarget {
+			silent = r
+		}
+	}
+	silent.paused = true
+	s.flush(old)
+	s.until("another replica leads", func() bool { return s.leader() != nil && s.leader() != old && s.leader().node.committedInTerm() })
+	s.maxVoters = 3
+	for _, r := range s.replicas {
+		r.node.cfg.MaxVoters = s.maxVoters
+	}
+	leader := s.leader()
+	for range 200 {
+		s.round()
+		require.Len(t, leader.node.voters(), 5, "a voter is demoted while another one is silent")
+	}
+	silent.paused = false
+	full := old
+	full.node.SetDiskFull(true)
+	s.until("the number of voters is the limit", s.voterLimitHolds)
+	require.Equal(t, leader, s.leader())
+	require.Len(t, leader.node.members(), 5)
+	require.False(t, leader.node.isVoter(full.id), "a voter with space was demoted before one with a full disk")
+	full.node.SetDiskFull(false)
+	s.proposeMany(t, 20)
+	require.Len(t, leader.node.voters(), 3)
+}
+
+// Guards against a leader that demotes itself, and against a learner that is demoted again.
+func TestLeaderIsNotDemoted(t *testing.T) {
+	s := healthy(t, 3)
+	l := s.leader().node
+	l.cfg.MaxVoters = 2 // A learner is not promoted again.
+	_, err := l.ProposeChange(s.now, Change{Kind: Demote, Member: Member{Replica: l.cfg.Replica}})
+	require.Equal(t, errs.KindConflict, errs.KindOf(err))
+	other := s.replicas[0].id
+	if other == l.cfg.Replica {
+		other = s.replicas[1].id
+	}
+	_, err = l.ProposeChange(s.now, Change{Kind: Demote, Member: Member{Replica: other}})
+	require.NoError(t, err)
+	s.flush(s.leader())
+	s.until("the change is committed", func() bool { return !l.changePending() })
+	_, err = l.ProposeChange(s.now, Change{Kind: Demote, Member: Member{Replica: other}})
+	require.Equal(t, errs.KindConflict, errs.KindOf(err))
+}
+
 // Guards against a vote or an acknowledgement that is sent before its write is durable.
 func TestNoVoteBeforeSync(t *testing.T) {
 	s := newSim(t, 7, 3)
--- a/internal/consensus/members.go
+++ b/internal/consensus/members.go
@@ -91,8 +91,8 @@
 	if err != nil {
 		return EntryID{}, err
 	}
-	if c.Kind == Remove && c.Member.Replica == n.cfg.Replica {
-		return EntryID{}, errs.New(errs.KindConflict, "transfer leadership first", "the leader cannot remove itself")
+	if (c.Kind == Remove || c.Kind == Demote) && c.Member.Replica == n.cfg.Replica {
+		return EntryID{}, errs.New(errs.KindConflict, "transfer leadership first", "the leader cannot remove or demote itself")
 	}
 	n.now = unixNano(now)
 	id := n.appendOwn(Entry{Kind: EntryMembers, Members: next})
@@ -113,6 +113,8 @@
 		return nil, errs.New(errs.KindNotFound, "check the list of members", "replica %s is not a member", c.Member.Replica)
 	case c.Kind == Promote && !old.Learner:
 		return nil, errs.New(errs.KindConflict, "no action is needed", "replica %s is already a voter", c.Member.Replica)
+	case c.Kind == Demote && old.Learner:
+		return nil, errs.New(errs.KindConflict, "no action is needed", "replica %s is already a learner", c.Member.Replica)
 	}
 	next := slices.Clone(members)
 	switch c.Kind {
@@ -120,10 +122,10 @@
 		// Learners do not count for quorums, so an earlier learner of the same VM can be removed in the same step.
 		next = slices.DeleteFunc(next, func(m Member) bool { return m.Learner && m.VM == c.Member.VM })
 		return append(next, Member{Replica: c.Member.Replica, VM: c.Member.VM, Learner: true}), nil
-	case Promote:
+	case Promote, Demote:
 		for i := range next {
 			if next[i].Replica == c.Member.Replica {
-				next[i].Learner = false
+				next[i].Learner = c.Kind == Demote
 			}
 		}
 		return next, nil
@@ -131,9 +133,9 @@
 	return slices.DeleteFunc(next, func(m Member) bool { return m.Replica == c.Member.Replica }), nil
 }
 
-// maintainMembers makes the leader promote a learner that has caught up, or remove one of these replicas: the old
-// replica of a VM whose new replica is a voter, an unresponsive voter above the limit of voters, or an unresponsive
-// replica of a retired VM.
+// maintainMembers makes the leader promote a learner that has caught up, demote a responsive voter above the limit of
+// voters, or remove one of these replicas: the old replica of a VM whose new replica is a voter, an unresponsive voter
+// above the limit of voters, or an unresponsive replica of a retired VM.
 func (n *Node) maintainMembers() {
 	if n.role != Leader || n.changePending() || !n.committedInTerm() || n.transferTarget != "" || n.diskFull {
 		return
@@ -158,6 +160,9 @@
 			return Change{Kind: Remove, Member: m}, true
 		}
 	}
+	if m, ok := n.surplusVoter(); ok {
+		return Change{Kind: Demote, Member: m}, true
+	}
 	for _, m := range members {
 		_, supersedes := newest[m.VM]
 		hasRoom := supersedes || n.cfg.MaxVoters == 0 || len(n.voters()) < n.cfg.MaxVoters || slices.ContainsFunc(members, n.replaceable)
@@ -168,6 +173,30 @@
 	return Change{}, false
 }
 
+// surplusVoter returns the voter to demote while there are more voters than the limit: preferably one with a full disk,
+// then the one that has synced the least. No voter is demoted before all of them have answered this leader, since an
+// unresponsive one is the one to remove.
+func (n *Node) surplusVoter() (Member, bool) {
+	if n.cfg.MaxVoters == 0 || len(n.voters()) <= n.cfg.MaxVoters {
+		return Member{}, false
+	}
+	var surplus Member
+	var least *progress
+	for _, m := range n.members() {
+		p := n.progress[m.Replica]
+		if m.Learner || m.Replica == n.cfg.Replica {
+			continue
+		}
+		if !p.hasAnswered || !n.responsive(p) {
+			return Member{}, false
+		}
+		if least == nil || p.diskFull && !least.diskFull || p.diskFull == least.diskFull && p.match <= least.match {
+			surplus, least = m, p
+		}
+	}
+	return surplus, least != nil
+}
+
 // caughtUp reports whether a responsive member has synced all committed entries.
 func (n *Node) caughtUp(id ReplicaID) bool {
 	p := n.progress[id]
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -67,9 +67,10 @@
 	highestApplied uint64
 	readsReleased  int
 	loss           float64
-	// stalled is a replica whose disk completes no write. maxVoters is the limit in the configuration of the nodes.
-	stalled   *simReplica
-	maxVoters int
+	// stalled is a replica whose disk completes no write. maxVoters and replaceAfter are in the configuration of the nodes.
+	stalled      *simReplica
+	maxVoters    int
+	replaceAfter int
 }
 
 const simSnapshotBytes = 100
@@ -102,7 +103,7 @@
 func (s *sim) start(r *simReplica) {
 	node, err := New(Config{
 		Replica: r.id, ElectionTicks: 10, HeartbeatTicks: 2, MaxMessageBytes: 400, MaxInflight: 4, MaxUnappliedBytes: 4000,
-		ChunkBytes: 60, RetainEntries: 5, MaxVoters: s.maxVoters, Random: rand.New(rand.NewPCG(s.random.Uint64(), 2)),
+		ChunkBytes: 60, RetainEntries: 5, MaxVoters: s.maxVoters, ReplaceAfterTicks: s.replaceAfter, Random: rand.New(rand.NewPCG(s.random.Uint64(), 2)),
 	}, r.disk.stored)
 	if err != nil {
 		s.t.Fatalf("replica %s does not start: %v", r.id, err)
@@ -320,7 +321,7 @@
 		return
 	}
 	for _, r := range s.live() {
-		if _, ok := findMember(l.node.members(), r.id); !ok && !r.diskLost && !r.node.isVoter(r.id) {
+		if _, ok := findMember(l.node.members(), r.id); !ok && !r.diskLost && (!r.node.isVoter(r.id) || r.node.leader == "") {
 			_, _ = l.node.ProposeChange(s.now, Change{Kind: AddLearner, Member: Member{Replica: r.id, VM: r.vm}})
 			s.flush(l)
 		}
@@ -341,6 +342,12 @@
 	return true
 }
 
+// voterLimitHolds reports whether the group is idle and has as many voters as its limit allows, all others being learners.
+func (s *sim) voterLimitHolds() bool {
+	l := s.leader()
+	return l != nil && !l.node.changePending() && l.node.committedInTerm() && len(l.node.voters()) == min(s.maxVoters, len(l.node.members()))
+}
+
 // loseDisk replaces a replica by a new one of the same VM with an empty disk.
 func (s *sim) loseDisk(r *simReplica) {
 	r.node, r.diskLost, r.disk = nil, true, &simDisk{}
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -74,10 +74,14 @@
 	AddLearner ChangeKind = iota
 	Promote
 	Remove
+	// Demote turns a voter into a learner.
+	Demote
 )
 
 // String returns the name used in log lines.
-func (k ChangeKind) String() string { return [...]string{"add_learner", "promote", "remove"}[k] }
+func (k ChangeKind) String() string {
+	return [...]string{"add_learner", "promote", "remove", "demote"}[k]
+}
 
 // Change is one membership change.
 type Change struct {
--- a/internal/modules/controllog/disks_test.go
+++ b/internal/modules/controllog/disks_test.go
@@ -247,8 +247,7 @@
 	}
 }
 
-// complete reports whether all VMs are members and at least three of them voters. A voter that is back between the promotion of
-// its replacement and its removal stays a voter.
+// complete reports whether all VMs are members and as many of them voters as max_voters in diskKeys allows.
 func (r *disksRun) complete() bool {
 	leader := r.leader()
 	voters := 0
@@ -258,7 +257,7 @@
 			voters++
 		}
 	}
-	return len(members) == len(r.vms) && voters >= r.first
+	return len(members) == len(r.vms) && voters == r.first
 }
 
 // offer proposes a change at each VM until one acknowledges it or the context ends.
