Sync the folders of the control log before a start relies on their names

A process that ends between renaming a file and syncing its folder, because a full disk refuses the sync or because it is killed, leaves a name that only the page cache holds. The next process read the file, appended to it and acknowledged what it had synced, but synced no folder until the next segment. When the machine then lost power, the name was gone, and acknowledged entries with it.

A folder that cannot be synced fails the start.

Tests: TestSegmentOfAnEndedProcessIsDurable (a process ends after a refused sync of the folder, the next one syncs a record, then the power fails), TestSnapshotOfAnEndedProcessIsDurable, TestIdentityOfAnEndedProcessIsDurable.

--- a/internal/modules/controllog/identity.go
+++ b/internal/modules/controllog/identity.go
@@ -77,7 +77,7 @@
 	return fmt.Sprintf("%016x", h.Sum64())
 }
 
-func saveIdentity(files fsys.FS, folder string, id identity) error {
+func encodeIdentity(id identity) []byte {
 	var b strings.Builder
 	b.WriteString("; Written by chestnuttiller. Do not edit or copy it: two VMs with one identity would vote twice.\n[identity]\n")
 	fmt.Fprintf(&b, "cluster = %s\nvm = %s\nreplica = %s\n", id.Cluster, id.VM, id.Replica)
@@ -94,17 +94,28 @@
 	for _, m := range id.Members {
 		fmt.Fprintf(&b, "[member %s]\nreplica = %s\n", m.VM, m.Replica)
 	}
+	return []byte(b.String())
+}
+
+func saveIdentity(files fsys.FS, folder string, id identity) error {
 	err := files.MakeFolder(folder)
 	if err == nil {
 		// The folder itself has to be durable, not only the file in it.
 		err = files.SyncFolder(filepath.Dir(folder))
 	}
 	if err == nil {
-		err = fsys.WriteDurably(files, filepath.Join(folder, identityName), []byte(b.String()))
+		err = fsys.WriteDurably(files, filepath.Join(folder, identityName), encodeIdentity(id))
 	}
 	return errs.Wrap(err, wal.KindOf(err), "check the data folder", "cannot write the identity in %s", folder)
 }
 
+// syncIdentity makes the name of an identity durable that an earlier process wrote, which may have ended before it synced the
+// folder.
+func syncIdentity(files fsys.FS, folder string) error {
+	err := files.SyncFolder(folder)
+	return errs.Wrap(err, wal.KindOf(err), "check the data folder", "the folder of the identity %s cannot be synced", folder)
+}
+
 func loadIdentity(files fsys.FS, folder string) (id identity, found bool, err error) {
 	path := filepath.Join(folder, identityName)
 	data, err := fsys.ReadAll(files, path)
--- a/internal/modules/controllog/storage.go
+++ b/internal/modules/controllog/storage.go
@@ -53,6 +53,11 @@
 	if err := id.check(s); err != nil {
 		return nil, err
 	}
+	if found {
+		if err := syncIdentity(files, st.folder); err != nil {
+			return nil, err
+		}
+	}
 	return st, st.load(wal.Options{SegmentBytes: segmentBytes})
 }
 
--- a/internal/modules/controllog/storage_test.go
+++ b/internal/modules/controllog/storage_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -12,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/chestnuttiller/chestnuttiller/internal/consensus"
+	"github.com/chestnuttiller/chestnuttiller/internal/fsys"
 	"github.com/chestnuttiller/chestnuttiller/internal/fsys/fsystest"
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/logcodec"
@@ -126,6 +129,24 @@
 	})
 }
 
+// Guards against a replica that votes under an identity which is lost in a crash, because an earlier process ended between
+// renaming its file and syncing the folder.
+func TestIdentityOfAnEndedProcessIsDurable(t *testing.T) {
+	s := newGroup(t, 1, fastKeys).settings("vm-0")
+	fs := fsystest.NewMemory()
+	id := identity{Cluster: s.Cluster, VM: s.VM, Replica: newReplicaID()}
+	fs.Refuse(fsystest.OpSyncFolder, syscall.EIO)
+	require.Error(t, fsys.WriteDurably(fs, filepath.Join(controlFolder(s), identityName), encodeIdentity(id)))
+	fs.Refuse(fsystest.OpSyncFolder, nil)
+	st, err := openStorage(fs, s, testSegmentBytes)
+	require.NoError(t, err)
+	require.Equal(t, id.Replica, st.identity.Replica)
+	after, found, err := loadIdentity(fs.Crash(rand.New(rand.NewPCG(1, 1))), controlFolder(s))
+	require.NoError(t, err)
+	require.True(t, found)
+	require.Equal(t, id.Replica, after.Replica)
+}
+
 // Guards against the loss of entries that are acknowledged after a crash between
 // storing a received snapshot and appending its reset record, and against a log that does not open at the next start.
 func TestEntriesAfterInterruptedSnapshot(t *testing.T) {
--- a/internal/snap/snap.go
+++ b/internal/snap/snap.go
@@ -64,7 +64,8 @@
 		}
 		s.indexes = append(s.indexes, index)
 	}
-	return s, nil
+	// An earlier process may have ended between renaming a snapshot and syncing the folder.
+	return s, s.fail(files.SyncFolder(folder))
 }
 
 func fileName(index uint64) string { return fmt.Sprintf("%016x%s", index, suffix) }
--- a/internal/snap/snap_test.go
+++ b/internal/snap/snap_test.go
@@ -24,6 +24,25 @@
 	return s
 }
 
+// Guards against a snapshot that a process uses after a start and that is lost in a crash, because an earlier process ended
+// between renaming its file and syncing the folder.
+func TestSnapshotOfAnEndedProcessIsDurable(t *testing.T) {
+	fs := fsystest.NewMemory()
+	s := storeWith(t, fs, 5)
+	fs.Refuse(fsystest.OpSyncFolder, syscall.EIO)
+	fs.Refuse(fsystest.OpRemove, syscall.EIO)
+	require.Error(t, s.Save(10, state(10)))
+	fs.Refuse(fsystest.OpSyncFolder, nil)
+	fs.Refuse(fsystest.OpRemove, nil)
+	newest := func(fs fsys.FS) uint64 {
+		index, _, _, err := storeWith(t, fs).Load()
+		require.NoError(t, err)
+		return index
+	}
+	require.Equal(t, uint64(10), newest(fs))
+	require.Equal(t, uint64(10), newest(fs.Crash(rand.New(rand.NewPCG(1, 1)))))
+}
+
 // Guards against a snapshot that is reported as saved and then lost in a crash.
 func TestCrashKeepsSnapshots(t *testing.T) {
 	for seed := range uint64(20) {
--- a/internal/wal/open.go
+++ b/internal/wal/open.go
@@ -35,6 +35,10 @@
 	if len(numbers) == 0 {
 		return l, Recovery{}, l.fail(l.roll())
 	}
+	// An earlier process may have ended between renaming a segment and syncing the folder.
+	if err := fs.SyncFolder(folder); err != nil {
+		return nil, Recovery{}, l.fail(err)
+	}
 	rec, err := l.load(numbers)
 	return l, rec, err
 }
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -258,6 +258,32 @@
 	}
 }
 
+// Guards against the loss of synced records after a process ended between renaming a segment and syncing the folder: the next
+// process appended to the segment, whose name was not durable.
+func TestSegmentOfAnEndedProcessIsDurable(t *testing.T) {
+	fs := fsystest.NewMemory()
+	l, _ := open(t, fs)
+	fs.Refuse(fsystest.OpSyncFolder, syscall.EIO)
+	var want []Record
+	for i := 0; ; i++ {
+		want = append(want, entry(i))
+		if l.Append(want[i:]) != nil {
+			want = want[:i]
+			break
+		}
+		require.NoError(t, l.Sync())
+	}
+	fs.Refuse(fsystest.OpSyncFolder, nil)
+	l, rec := open(t, fs)
+	require.Equal(t, 2, l.Segments())
+	require.Equal(t, want, entries(rec))
+	want = append(want, entry(len(want)))
+	require.NoError(t, l.Append(want[len(want)-1:]))
+	require.NoError(t, l.Sync())
+	_, rec = open(t, fs.Crash(rand.New(rand.NewPCG(1, 1))))
+	require.Equal(t, want, entries(rec))
+}
+
 // Guards against a process that ends because a full disk refuses to create or rename the next segment, and against a log that
 // loses records once it has space again.
 func TestFullDiskRefusesOneOperation(t *testing.T) {
