Continue after a full disk refuses to sync the folder of the control log

Operators saw: a control VM ended while its disk was full, "the control log cannot be read or written: no space left on device", and had to be started again by its supervisor, although writes, creations and renames that a full disk refuses only wait for space. Its voter was silent until then.

Cause: the sync of the folder after the rename of a new segment was final with any error.

Is this safe? Repeating the sync alone is not. On a thin-provisioned volume the error may come from a failed write of the folder, after which the kernel may count the change as written, like a dirty page; the next sync would then report success for a name that a crash loses. A file's sync stays final for this reason. A folder differs in two ways. Its change can be made again, from what the process knows: the file is renamed back and then forth, and only a sync after this new change counts; if the kernel has lost the name, the rename fails and the process ends. And nothing depends on the name before: the earlier segments are complete and synced, the new one holds a header and a copy of the state, and Append does not return, so no entry in it is acknowledged. With any other error the process ends as before.

Tests: TestRefusedFolderSyncIsNotRepeatedAlone, on a file system that drops the change of a refused sync, with a crash after each wait and each sync; TestFullDiskRefusesOneOperation and TestDisksFullInTurn now refuse syncs of the folder as well. The code before fails the first two with "no space left on device"; with the sync repeated alone, the first one loses a synced record (14 of 15).

--- a/internal/modules/controllog/disks_test.go
+++ b/internal/modules/controllog/disks_test.go
@@ -163,6 +163,9 @@
 // snapshotEntries is snapshot_entries in diskKeys.
 const snapshotEntries = 20
 
+// diskOperations are the operations that a full disk refuses alone or together.
+var diskOperations = []fsystest.Operation{fsystest.OpCreate, fsystest.OpWrite, fsystest.OpRename, fsystest.OpRemove, fsystest.OpSyncFolder}
+
 // disksRun is a group whose disks are full one after another. Its kernels are started and stopped under the lock mu.
 type disksRun struct {
 	*group
@@ -340,7 +343,7 @@
 		full = syscall.EDQUOT
 	}
 	disk := r.disks[vm]
-	ops := []fsystest.Operation{fsystest.OpCreate, fsystest.OpWrite, fsystest.OpRename, fsystest.OpRemove}
+	ops := diskOperations
 	if kind := r.random.IntN(len(ops) + 3); kind == len(ops)+2 {
 		r.note("%s refuses syncs: %v", vm, full)
 		disk.FailSyncs(full)
@@ -363,7 +366,7 @@
 		return
 	}
 	r.note("%s has room again", vm)
-	for _, op := range []fsystest.Operation{fsystest.OpCreate, fsystest.OpWrite, fsystest.OpRename, fsystest.OpRemove} {
+	for _, op := range diskOperations {
 		r.disks[vm].Refuse(op, nil)
 	}
 	r.disks[vm].SetCapacity(0)
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -192,12 +192,31 @@
 		return err
 	}
 	l.group = l.seq
-	rename := func() error { return l.fs.Rename(l.path(spareName), l.path(segmentName(number))) }
-	if err := l.retryWhileFull(rename); err != nil {
+	if err := l.nameSegment(number); err != nil {
 		return err
 	}
 	l.hasSpare = false
-	return l.fs.SyncFolder(l.folder)
+	return nil
+}
+
+// nameSegment renames the spare file and makes the new name durable. When a full disk refuses the sync of the folder, the file is
+// renamed back and forth before the next sync: a sync alone could succeed although the kernel has dropped the refused change.
+func (l *Log) nameSegment(number uint64) error {
+	spare, segment := l.path(spareName), l.path(segmentName(number))
+	renamed := false
+	return l.retryWhileFull(func() error {
+		if renamed {
+			if err := l.fs.Rename(segment, spare); err != nil {
+				return err
+			}
+			renamed = false
+		}
+		if err := l.fs.Rename(spare, segment); err != nil {
+			return err
+		}
+		renamed = true
+		return l.fs.SyncFolder(l.folder)
+	})
 }
 
 // Reserve creates the spare segment unless it exists. After an error of kind disk_full the caller should accept no new
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -284,10 +284,66 @@
 	require.Equal(t, want, entries(rec))
 }
 
-// Guards against a process that ends because a full disk refuses to create or rename the next segment, and against a log that
+// droppingFS is a file system that drops the changes of a folder whose sync is refused: a later sync without another change
+// succeeds and makes nothing durable.
+type droppingFS struct {
+	*fsystest.Memory
+	changed bool
+}
+
+func (d *droppingFS) Rename(from, to string) error {
+	d.changed = true
+	return d.Memory.Rename(from, to)
+}
+
+func (d *droppingFS) SyncFolder(path string) error {
+	if !d.changed {
+		return nil
+	}
+	d.changed = false
+	return d.Memory.SyncFolder(path)
+}
+
+// Guards against records that are reported as durable in a segment whose name is lost in a crash, because only the sync of the
+// folder was repeated after a full disk had refused it.
+func TestRefusedFolderSyncIsNotRepeatedAlone(t *testing.T) {
+	for _, alsoRename := range []bool{false, true} {
+		fs := &droppingFS{Memory: fsystest.NewMemory()}
+		l, _ := open(t, fs)
+		afterCrash := func() []Record {
+			_, rec := open(t, fs.Crash(rand.New(rand.NewPCG(1, 1))))
+			return entries(rec)
+		}
+		var want []Record
+		waits := 0
+		l.SetWaitForSpace(func(error) bool {
+			require.Equal(t, want[:len(want)-1], afterCrash(), "records that are synced are lost while the disk is full")
+			waits++
+			if alsoRename {
+				fs.Refuse(fsystest.OpRename, map[bool]error{true: syscall.ENOSPC}[waits%4 < 2])
+			}
+			if waits%4 == 3 {
+				fs.Refuse(fsystest.OpSyncFolder, nil)
+			}
+			return true
+		})
+		for i := range 40 {
+			if i%10 == 0 {
+				fs.Refuse(fsystest.OpSyncFolder, syscall.ENOSPC)
+			}
+			want = append(want, entry(i))
+			require.NoError(t, l.Append(want[i:]))
+			require.NoError(t, l.Sync())
+			require.Equal(t, want, afterCrash())
+		}
+		require.Greater(t, waits, 4)
+	}
+}
+
+// Guards against a process that ends because a full disk refuses to create, rename or sync the name of the next segment, and against a log that
 // loses records once it has space again.
 func TestFullDiskRefusesOneOperation(t *testing.T) {
-	for _, op := range []fsystest.Operation{fsystest.OpCreate, fsystest.OpWrite, fsystest.OpRename} {
+	for _, op := range []fsystest.Operation{fsystest.OpCreate, fsystest.OpWrite, fsystest.OpRename, fsystest.OpSyncFolder} {
 		for _, full := range []error{syscall.ENOSPC, syscall.EDQUOT} {
 			fs := fsystest.NewMemory()
 			l, _ := open(t, fs)
