Start although a full disk keeps the files of incomplete writes

Operators saw: a control VM that was restarted while its disk refused removals ended at its start with "no space left on device", each time until the disk had room, although nothing that it needs was missing. Every stop leaves such a file, the spare segment of the log.

Cause: the start removes incomplete files and treated a refusal as final.

Change: a start leaves what a full disk keeps. Any other error still ends the start.

Test: TestFullDiskKeepsIncompleteFilesAtStart. It fails with "no space left on device" when the change is taken out of internal/wal or of internal/snap.

--- a/internal/modules/controllog/storage_test.go
+++ b/internal/modules/controllog/storage_test.go
@@ -129,6 +129,36 @@
 	})
 }
 
+// Guards against a process that does not start because its full disk refuses to remove the files of writes that were not completed,
+// such as the spare segment, which is left by every stop. The files are removed or replaced once there is room.
+func TestFullDiskKeepsIncompleteFilesAtStart(t *testing.T) {
+	for _, full := range []error{syscall.ENOSPC, syscall.EDQUOT} {
+		s := newGroup(t, 1, fastKeys).settings("vm-0")
+		fs := fsystest.NewMemory()
+		st, err := openStorage(fs, s, testSegmentBytes)
+		require.NoError(t, err)
+		require.NoError(t, st.log.Append(entryRecords([]consensus.Entry{{Index: 1, Term: 1}})))
+		require.NoError(t, st.log.Sync())
+		require.NoError(t, st.log.Reserve())
+		fs.Refuse(fsystest.OpRename, full)
+		fs.Refuse(fsystest.OpRemove, full)
+		require.Error(t, st.snaps.Save(1, logcodec.EncodeSnapshot(&consensus.Snapshot{Index: 1, Term: 1})))
+		st, err = openStorage(fs, s, testSegmentBytes)
+		require.NoError(t, err)
+		require.Equal(t, "term 0 vote ; 1/1", describe(st.stored))
+		require.Error(t, st.snaps.Save(1, logcodec.EncodeSnapshot(&consensus.Snapshot{Index: 1, Term: 1})))
+		fs.Refuse(fsystest.OpRename, nil)
+		fs.Refuse(fsystest.OpRemove, nil)
+		require.NoError(t, st.log.Reserve())
+		require.NoError(t, st.snaps.Save(2, logcodec.EncodeSnapshot(&consensus.Snapshot{Index: 2, Term: 1})))
+		names, err := fs.List(filepath.Join(controlFolder(s), "snap"))
+		require.NoError(t, err)
+		require.Len(t, names, 1, "%v", names)
+		_, err = openStorage(fs.Crash(rand.New(rand.NewPCG(1, 1))), s, testSegmentBytes)
+		require.NoError(t, err)
+	}
+}
+
 // Guards against a replica that votes under an identity which is lost in a crash, because an earlier process ended between
 // renaming its file and syncing the folder.
 func TestIdentityOfAnEndedProcessIsDurable(t *testing.T) {
--- a/internal/snap/snap.go
+++ b/internal/snap/snap.go
@@ -41,7 +41,8 @@
 	refused []uint64
 }
 
-// Open opens the folder, which is created when it is missing, and removes incomplete files.
+// Open opens the folder, which is created when it is missing, and removes incomplete files. Those that a full disk keeps are
+// removed by the next Save.
 func Open(files fsys.FS, folder string) (*Store, error) {
 	s := &Store{fs: files, folder: folder}
 	if err := files.MakeFolder(folder); err != nil {
@@ -52,14 +53,20 @@
 		return nil, s.fail(err)
 	}
 	for _, name := range names {
-		if strings.HasSuffix(name, fsys.TemporarySuffix) {
-			if err := files.Remove(filepath.Join(folder, name)); err != nil {
+		complete, isTemporary := strings.CutSuffix(name, fsys.TemporarySuffix)
+		index, err := strconv.ParseUint(strings.TrimSuffix(complete, suffix), 16, 64)
+		isSnapshot := err == nil && complete == fileName(index)
+		if isTemporary {
+			err := files.Remove(filepath.Join(folder, name))
+			if err != nil && wal.KindOf(err) != errs.KindDiskFull {
 				return nil, s.fail(err)
 			}
+			if err != nil && isSnapshot {
+				s.refused = append(s.refused, index)
+			}
 			continue
 		}
-		index, err := strconv.ParseUint(strings.TrimSuffix(name, suffix), 16, 64)
-		if err != nil || name != fileName(index) {
+		if !isSnapshot {
 			return nil, errs.New(errs.KindCorrupt, "move the file away", "%s is not a snapshot file", filepath.Join(folder, name))
 		}
 		s.indexes = append(s.indexes, index)
--- a/internal/wal/open.go
+++ b/internal/wal/open.go
@@ -43,7 +43,7 @@
 	return l, rec, err
 }
 
-// findSegments returns the numbers of the segments and removes incomplete files.
+// findSegments returns the numbers of the segments and removes incomplete files, unless a full disk keeps them.
 func (l *Log) findSegments() ([]uint64, error) {
 	names, err := l.fs.List(l.folder)
 	if err != nil {
@@ -52,7 +52,8 @@
 	var numbers []uint64
 	for _, name := range names {
 		if strings.HasSuffix(name, fsys.TemporarySuffix) {
-			if err := l.fs.Remove(l.path(name)); err != nil {
+			// The next segment replaces a spare file that a full disk keeps.
+			if err := l.fs.Remove(l.path(name)); err != nil && KindOf(err) != errs.KindDiskFull {
 				return nil, l.fail(err)
 			}
 			continue
