Name another process as the cause only if it holds the lock

Operators saw: when the control folder or its lock file could not be created, for example on a full disk, the start failed with "is in use by another process; stop the other process", kind conflict, although there was none.

Cause: every error of locking the folder was reported as a held lock.

Change: only EWOULDBLOCK, which the lock reports when it is held, is a conflict. Other errors have the kind of the file system's error, disk_full included, and a remedy that names the folder and its disk.

Test: TestFolderThatCannotBeCreatedIsNoConflict. Without the change it fails with "conflict" instead of "internal". With it, internal/modules/controllog passes with -race.

--- a/internal/modules/controllog/module.go
+++ b/internal/modules/controllog/module.go
@@ -5,10 +5,12 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,6 +23,7 @@
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
 	"github.com/chestnuttiller/chestnuttiller/internal/settings"
+	"github.com/chestnuttiller/chestnuttiller/internal/wal"
 )
 
 func init() {
@@ -121,9 +124,12 @@
 func (m *Module) Start(ctx context.Context) error {
 	folder := controlFolder(m.ctx.Settings)
 	unlock, err := fsys.LockFolder(folder)
-	if err != nil {
+	if errors.Is(err, syscall.EWOULDBLOCK) {
 		return errs.Wrap(err, errs.KindConflict, "stop the other process, or correct [data] folder", "%s is in use by another process", folder)
 	}
+	if err != nil {
+		return errs.Wrap(err, wal.KindOf(err), "check the data folder and the free space of its disk", "%s cannot be created or locked", folder)
+	}
 	m.lock = unlock
 	st, err := openStorage(m.files, m.ctx.Settings, m.options.segmentBytes)
 	if errs.KindOf(err) == errs.KindCorrupt && m.options.rejoinOnDamage {
--- a/internal/modules/controllog/module_test.go
+++ b/internal/modules/controllog/module_test.go
@@ -254,6 +254,18 @@
 	require.NoError(t, k.Stop(context.Background()))
 }
 
+// Guards against an error that names another process as the cause when the disk refuses the folder or its lock file.
+func TestFolderThatCannotBeCreatedIsNoConflict(t *testing.T) {
+	g := newGroup(t, 1, fastKeys)
+	require.NoError(t, os.WriteFile(filepath.Join(g.folder, "vm-0"), nil, 0o600))
+	k, err := kernel.New(g.settings("vm-0"))
+	require.NoError(t, err)
+	err = k.Start(context.Background())
+	require.ErrorIs(t, err, syscall.ENOTDIR)
+	require.Equal(t, errs.KindInternal, errs.KindOf(err))
+	require.NoError(t, k.Stop(context.Background()))
+}
+
 // Guards against a replica that starts, and votes, after it lost a part of its state.
 func TestDamagedFoldersAreRefused(t *testing.T) {
 	for name, damage := range map[string]func(folder string) error{
