--- a/internal/wal/open.go
+++ b/internal/wal/open.go
@@ -35,11 +35,15 @@
 	if len(numbers) == 0 {
 		return l, Recovery{}, l.fail(l.roll())
 	}
+	// An earlier process may have ended between renaming a segment and syncing the folder.
+	if err := fs.SyncFolder(folder); err != nil {
+		return nil, Recovery{}, l.fail(err)
+	}
 	rec, err := l.load(numbers)
 	return l, rec, err
 }
 
-// findSegments returns the numbers of the segments and removes incomplete files.
+// findSegments returns the numbers of the segments and removes incomplete files, unless a full disk keeps them.
 func (l *Log) findSegments() ([]uint64, error) {
 	names, err := l.fs.List(l.folder)
 	if err != nil {
@@ -48,7 +52,8 @@
 	var numbers []uint64
 	for _, name := range names {
 		if strings.HasSuffix(name, fsys.TemporarySuffix) {
-			if err := l.fs.Remove(l.path(name)); err != nil {
+			// The next segment replaces a spare file that a full disk keeps.
+			if err := l.fs.Remove(l.path(name)); err != nil && KindOf(err) != errs.KindDiskFull {
 				return nil, l.fail(err)
 			}
 			continue
