--- a/integration/main_test.go
+++ b/integration/main_test.go
@@ -56,6 +56,7 @@
 		return 1
 	}
 	defer lock.Close()
+	go pauses.run()
 	return m.Run()
 }
 
@@ -70,9 +71,11 @@
 }
 
 // TestScenarios runs the scripts in testdata. The head of each script names the faults that it guards against.
-func TestScenarios(t *testing.T) {
-	testscript.Run(t, testscript.Params{
-		Dir:   "testdata",
+func TestScenarios(t *testing.T) { testscript.Run(t, scenarioParams("testdata")) }
+
+func scenarioParams(dir string) testscript.Params {
+	return testscript.Params{
+		Dir:   dir,
 		Setup: setUp,
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"system": command((*scenario).cmdSystem),
@@ -90,5 +93,5 @@
 			"apply":  command((*scenario).cmdApply),
 			"race":   command((*scenario).cmdRace),
 		},
-	})
+	}
 }
--- a/integration/scenario_test.go
+++ b/integration/scenario_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -53,6 +54,8 @@
 	// lastResult is the result of the last query or order.
 	lastResult bench.Result
 	orders     map[string]*orderState
+	// failure is the error of the command that has failed.
+	failure error
 	// allowed are the checks that the script has lifted.
 	allowed map[string]bool
 	ts      *testscript.TestScript
@@ -86,6 +89,9 @@
 	env.Defer(func() {
 		err := s.checkInvariants()
 		s.close()
+		if err != nil || env.T().(interface{ Failed() bool }).Failed() {
+			env.T().Log(s.keepEvidence(err))
+		}
 		if err != nil {
 			env.T().Fatal(err)
 		}
@@ -126,6 +132,7 @@
 		s.ts = ts
 		err := fn(s, args)
 		if err != nil && !neg {
+			s.failure = err
 			s.logState()
 			ts.Fatalf("%v", err)
 		}
@@ -145,6 +152,36 @@
 	}
 }
 
+// failureFile has the errors of a failed scenario, the counts of its targets and the pauses of the test process.
+const failureFile = "failure"
+
+// keepEvidence copies the whole logs and the settings of all VMs to a folder that remains, and returns a line that names it.
+func (s *scenario) keepEvidence(violation error) string {
+	folder, err := os.MkdirTemp("", "scenario")
+	if err != nil {
+		return fmt.Sprintf("the logs are not kept: %v", err)
+	}
+	var text strings.Builder
+	fmt.Fprintf(&text, "command: %v\ninvariants: %v\n", s.failure, violation)
+	for _, name := range slices.Sorted(maps.Keys(s.targets)) {
+		fmt.Fprintf(&text, "target %s: %+v\n", name, s.targets[name].Counts())
+	}
+	for _, line := range pauses.all() {
+		fmt.Fprintln(&text, line)
+	}
+	err = os.WriteFile(filepath.Join(folder, failureFile), []byte(text.String()), 0o600)
+	for _, v := range s.vms {
+		for _, file := range []string{v.logFile(), v.settingsFile()} {
+			data, readErr := os.ReadFile(file)
+			if errors.Is(readErr, os.ErrNotExist) {
+				continue // The VM was not started.
+			}
+			err = errors.Join(err, readErr, os.WriteFile(filepath.Join(folder, v.name+"-"+filepath.Base(file)), data, 0o600))
+		}
+	}
+	return fmt.Sprintf("the logs are in %s, errors while they were kept: %v", folder, err)
+}
+
 // close stops the loads, kills the VMs and closes the targets and the mesh.
 func (s *scenario) close() {
 	for _, l := range s.loads {
