Send commands to the next leader while leadership is being transferred

The same window exists in each planned stop of a leader.

Cause: a leader that transfers its leadership refused proposals with the kind not_accepted, which the control client takes for a final refusal. Nothing was appended, and another control VM, or the same one after an election timeout, accepts them.

Change: the kind is not_leader, so that the control client asks the other control VMs, in rounds and within the caller's time, as it does during an election. If none leads in time, the answer is not_accepted as before.

Tests: TestTransferLeadership expected the kind not_accepted, which was wrong for this reason; it now expects not_leader, and checks that nothing was appended. It fails with the old kind.

--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -160,13 +160,16 @@
 	require.Equal(t, leader.id, s.leader().id)
 }
 
-// Guards against a shutdown that leaves the group without a leader for an election timeout.
+// Guards against a shutdown that leaves the group without a leader for an election timeout, and against a proposal during it that
+// is refused for good, although the next leader accepts it.
 func TestTransferLeadership(t *testing.T) {
 	s := healthy(t, 3)
 	old := s.leader()
 	require.NoError(t, old.node.TransferLeadership())
+	last := old.node.Status().Last
 	_, err := old.node.Propose(s.now, []byte("x"))
-	require.Equal(t, errs.KindNotAccepted, errs.KindOf(err))
+	require.Equal(t, errs.KindNotLeader, errs.KindOf(err))
+	require.Equal(t, last, old.node.Status().Last, "nothing was appended")
 	s.flush(old)
 	start := s.now
 	s.until("another replica leads", func() bool { return s.leader() != nil && s.leader() != old })
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -141,7 +141,7 @@
 	case n.role != Leader:
 		return errs.New(errs.KindNotLeader, "send the request to the leader", "this replica is not the leader of the control group")
 	case n.transferTarget != "":
-		return errs.New(errs.KindNotAccepted, "resend after a pause", "leadership of the control group is being transferred")
+		return errs.New(errs.KindNotLeader, "resend after a pause", "leadership of the control group is being transferred")
 	case n.diskFull:
 		return errs.New(errs.KindDiskFull, "free space in the data folder", "the disk of the control log has no space for new entries")
 	}
--- a/internal/modules/controlclient/controlclient_test.go
+++ b/internal/modules/controlclient/controlclient_test.go
@@ -175,6 +175,21 @@
 	}
 }
 
+// Guards against a command that is refused because leadership is being transferred just then.
+func TestCommandsWaitForTheNextLeader(t *testing.T) {
+	for _, from := range []model.VMName{"entry", "c1", "c2"} {
+		g := newGroup("")
+		g.vms[from].client.wait = func(ctx context.Context, _ time.Duration) error {
+			g.leader = "c2"
+			return ctx.Err()
+		}
+		r, err := g.vms[from].client.Propose(t.Context(), change(t, "c", 0))
+		require.NoError(t, err)
+		require.Equal(t, state.ChangeResult{Outcome: state.ChangeAccepted, Revision: 1}, r)
+		require.Equal(t, uint64(1), g.applied)
+	}
+}
+
 // Guards against endless retries without a leader, and against an error of kind
 // outcome_unknown when nothing can have been applied.
 func TestNothingIsAcceptedWithoutALeader(t *testing.T) {
--- a/internal/modules/controllog/proposals.go
+++ b/internal/modules/controllog/proposals.go
@@ -140,9 +140,9 @@
 	m.flushLater()
 }
 
-// withLeader replaces an error of kind not_leader by one that names the leader.
+// withLeader replaces an error of kind not_leader by one that names the leader, unless this VM transfers its leadership.
 func (m *Module) withLeader(err error) error {
-	if errs.KindOf(err) == errs.KindNotLeader {
+	if errs.KindOf(err) == errs.KindNotLeader && m.status.Load().Role != roleLeader {
 		return m.notLeader()
 	}
 	return err
