--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -38,15 +39,25 @@
 type conn struct {
 	net.Conn
 	mu sync.Mutex
-	// hasRequest is set once a byte of a request was read that has no response. net/http may have read a part of the next request
-	// with the last one, so after a response it stays set until net/http needs more bytes.
+	// hasRequest is set from the first byte of a request that was read to the end of its response. net/http may have read this byte
+	// with the request before it, so after a response it stays set until checkHeld has looked at what net/http holds.
 	hasRequest bool
-	// hasResponded is set from the end of a response to the next read or request. hasIdleDeadline is set if net/http has set the
-	// deadline for the beginning of that request.
-	hasResponded, hasIdleDeadline bool
-	closed                        bool
+	stage      readStage
+	// isChecked is set once checkHeld has set hasRequest. isMalformed is set once bytes were read with which no request begins.
+	isChecked, isMalformed bool
+	// hasIdleDeadline is set if net/http has set the deadline for the beginning of the next request, which is idleBy.
+	hasIdleDeadline bool
+	idleBy          time.Time
+	// headerBy is when the header of a request that began while net/http waited has to end, or zero.
+	headerBy time.Time
+	closed   bool
 	// bufferSize is how many bytes net/http reads at most while it holds none.
 	bufferSize int
+	// recent holds the last bytes that were read.
+	recent recentBytes
+	input  input
+	// isKept is set if the last response would have announced the close of the connection, but another request was waiting.
+	isKept bool
 	// idleSince is when the connection was accepted or the last response ended. isNew is set until the first
 	// response has ended.
 	idleSince time.Time
@@ -78,18 +89,15 @@
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.callerEnded = true
 	}
-	if n == 0 {
-		return n, err
-	}
-	c.hasRequest = true
-	if c.state == requestNone {
-		c.state, c.requestSince = requestReading, time.Now()
+	c.recent.add(p[:n])
+	c.input.add(p[:n])
+	if c.stage != stageMessage && !c.hasRequest {
+		c.addBytes(p[:n])
 	}
 	return n, err
 }
 
-// beginRead makes the connection idle if net/http holds nothing of a request after the last response. It holds something if it asks
-// for fewer bytes than its buffer can take.
+// beginRead makes the connection idle if net/http holds nothing of a request after the last response.
 func (c *conn) beginRead(size int) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -99,15 +107,61 @@
 	if c.bufferSize == 0 {
 		c.bufferSize = size // This is the first read.
 	}
-	if c.hasResponded {
-		c.hasResponded, c.hasRequest = false, size < c.bufferSize
-		if !c.hasRequest {
-			c.set.signal()
-		}
+	if c.stage != stageMessage && !c.isChecked {
+		c.checkHeld(c.bufferSize - size)
 	}
 	return nil
 }
 
+// checkHeld finds out whether a request has begun with the bytes that net/http holds when it reads for the first time after a
+// response. It asks for as many bytes fewer than its buffer can take.
+func (c *conn) checkHeld(held int) {
+	c.isChecked, c.hasRequest = true, false
+	if c.stage == stageWait {
+		c.addBytes(c.recent.last(held))
+	} else if !c.recent.areEmptyLines(held) {
+		c.startRequest()
+	}
+	if !c.hasRequest {
+		c.state = requestNone
+		c.set.signal()
+	}
+}
+
+// addBytes follows bytes that were read while no request had begun.
+func (c *conn) addBytes(p []byte) {
+	p = bytes.TrimLeft(p, "\r\n")
+	switch {
+	case len(p) == 0 || c.isMalformed:
+	case isTokenChar(p[0]):
+		c.startRequest()
+	default:
+		c.isMalformed = true
+	}
+}
+
+func (c *conn) startRequest() {
+	c.hasRequest = true
+	if c.state == requestNone {
+		c.state, c.requestSince = requestReading, time.Now()
+	}
+	if c.stage == stageWait {
+		c.limitHeader(time.Now())
+	}
+}
+
+// limitHeader makes the limit of a header count from its first byte. net/http counts it from the byte of number peekSize, and applies
+// the limit of idle connections until then.
+func (c *conn) limitHeader(now time.Time) {
+	if c.set.headerTimeout <= 0 {
+		return
+	}
+	c.headerBy = now.Add(c.set.headerTimeout)
+	if c.idleBy.IsZero() || c.headerBy.Before(c.idleBy) {
+		_ = c.Conn.SetReadDeadline(c.headerBy) // A connection that has been closed needs no deadline.
+	}
+}
+
 func (c *conn) isClosed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -122,10 +176,18 @@
 	if c.closed {
 		return net.ErrClosed
 	}
-	if c.hasResponded && c.hasIdleDeadline {
-		c.hasResponded = false
+	if c.stage == stageWait && c.hasIdleDeadline {
+		c.stage = stageHead
+		if !c.isChecked {
+			c.startRequest() // checkHeld corrects this for empty lines.
+		}
+	}
+	if c.stage == stageWait {
+		c.hasIdleDeadline, c.idleBy = true, t
+	}
+	if c.stage == stageHead && t.After(c.headerBy) && !c.headerBy.IsZero() {
+		t = c.headerBy
 	}
-	c.hasIdleDeadline = true
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -161,12 +223,30 @@
 	return err
 }
 
-// beginRequest follows the start of a handler.
-func (c *conn) beginRequest(endsByClose bool) {
+// beginRequest follows the start of a handler. A negative length of the body is not known.
+func (c *conn) beginRequest(endsByClose bool, bodyLength int64) {
 	c.setRequestState(requestHandling)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.endsByClose = endsByClose
+	c.input.beginBody(bodyLength)
+}
+
+// keep decides whether the connection stays open after the current response, although it is to be closed, because the caller has
+// already sent another request. A caller may send each request before the answer to the last one, so beyond what net/http holds this is
+// so once in a row, unless always is set.
+func (c *conn) keep(always bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isKept = c.input.holdsRequest() || (always || !c.isKept) && c.input.bodyEnded() && unreadBytes(c.Conn) > 0
+	return c.isKept
+}
+
+// wasKept reports whether the connection has stayed open only for the request that begins now.
+func (c *conn) wasKept() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isKept
 }
 
 func (c *conn) setRequestState(state requestState) {
@@ -195,14 +275,16 @@
 func (c *conn) setResponded(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.hasResponded, c.hasIdleDeadline, c.isNew, c.idleSince, c.state = true, false, false, now, requestNone
+	c.stage, c.isChecked, c.isMalformed, c.hasIdleDeadline = stageWait, false, false, false
+	c.isNew, c.idleSince, c.state, c.headerBy = false, now, requestNone, time.Time{}
+	c.input.next()
 }
 
 // setActive follows the end of a header, or an error in it.
 func (c *conn) setActive() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.hasRequest, c.hasResponded = true, false
+	c.hasRequest, c.stage = true, stageMessage
 }
 
 // closeIfUnused closes the connection if nothing of a request was read and the first one is not expected any more. Otherwise it
@@ -233,15 +315,19 @@
 	counts  *closeCounts
 	// lingering holds connections that are being closed, also after net/http has closed them.
 	lingering *lingerSet
+	// headerTimeout is the longest time for the header of a request; 0 is no limit.
+	headerTimeout time.Duration
+	// onEnd is called when net/http has ended with a connection.
+	onEnd func()
 }
 
-func newConnSet(counts *closeCounts) *connSet {
-	return &connSet{conns: map[*conn]bool{}, changed: make(chan struct{}, 1), counts: counts, lingering: newLingerSet()}
+func newConnSet(counts *closeCounts, headerTimeout time.Duration, onEnd func()) *connSet {
+	return &connSet{headerTimeout: headerTimeout, onEnd: onEnd, conns: map[*conn]bool{}, changed: make(chan struct{}, 1), counts: counts, lingering: newLingerSet()}
 }
 
 // add adds an accepted connection.
 func (s *connSet) add(c net.Conn) *conn {
-	x := &conn{Conn: c, isNew: true, idleSince: time.Now(), state: requestNone, set: s}
+	x := &conn{Conn: c, isNew: true, idleSince: time.Now(), stage: stageHead, isChecked: true, state: requestNone, set: s}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[x] = true
@@ -253,7 +339,7 @@
 	switch state {
 	case http.StateIdle:
 		c.setResponded(time.Now())
-		return // beginRead makes it idle.
+		return // checkHeld makes it idle.
 	case http.StateActive:
 		c.setActive()
 		return
@@ -261,6 +347,7 @@
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
+		s.onEnd()
 	default:
 		return
 	}
--- a/internal/httpserver/generation.go
+++ b/internal/httpserver/generation.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,9 +27,9 @@
 }
 
 func (s *Server) newGeneration(o Options) *generation {
-	g := &generation{parent: s, options: o, source: &connListener{conns: make(chan net.Conn), closed: make(chan struct{})}, conns: newConnSet(&s.closes)}
+	g := &generation{parent: s, options: o, source: &connListener{conns: make(chan net.Conn), closed: make(chan struct{})}, conns: newConnSet(&s.closes, o.ReadHeaderTimeout, s.releasePlace)}
 	g.server = &http.Server{
-		Handler: g, ReadHeaderTimeout: o.ReadHeaderTimeout, IdleTimeout: o.IdleTimeout, MaxHeaderBytes: o.MaxHeaderBytes,
+		Handler: g, ReadHeaderTimeout: o.ReadHeaderTimeout, WriteTimeout: o.WriteTimeout, IdleTimeout: o.IdleTimeout, MaxHeaderBytes: o.MaxHeaderBytes,
 		ConnState:   func(c net.Conn, state http.ConnState) { g.conns.setState(c.(*conn), state) },
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		BaseContext: func(net.Listener) context.Context { return s.requests },
@@ -38,37 +39,44 @@
 
 // ServeHTTP implements http.Handler.
 func (g *generation) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if g.replaced.Load() {
-		// The response closes the connection, so that the next request is subject to the new limits.
-		w.Header().Set("Connection", "close")
-	}
 	c := r.Context().Value(connKey{}).(*conn)
-	c.beginRequest(!r.ProtoAtLeast(1, 1))
-	w = &responseWriter{ResponseWriter: w, server: g.parent, conn: c}
+	c.beginRequest(!r.ProtoAtLeast(1, 1), r.ContentLength)
+	response := &responseWriter{ResponseWriter: w, server: g.parent, conn: c, isReplaced: g.replaced.Load()}
+	w = response
 	bodyTimeout := g.options.BodyTimeout
 	if endBy := g.parent.endBy.Load(); endBy != nil {
-		ctx, cancel := context.WithDeadlineCause(r.Context(), *endBy, errShutdown)
+		deadline := *endBy
+		if g.parent.isClosing() && c.wasKept() {
+			deadline = time.Now() // The next request of this caller would have to wait behind this one, and then be dropped.
+		}
+		ctx, cancel := context.WithDeadlineCause(r.Context(), deadline, errShutdown)
 		defer cancel()
 		r = r.WithContext(ctx)
 		if left := max(time.Until(*endBy), 0); bodyTimeout == 0 || left < bodyTimeout {
 			bodyTimeout = left
 		}
 	}
-	if bodyTimeout > 0 && r.ContentLength != 0 {
-		r.Body = newTimedBody(w, r.Body, bodyTimeout)
+	if r.ContentLength != 0 {
+		b := newTimedBody(w, r.Body, bodyTimeout)
+		defer b.end()
+		defer context.AfterFunc(g.parent.requests, b.expire)()
+		r.Body = b
 	}
 	g.parent.handler.ServeHTTP(w, r)
+	response.begin() // net/http sends the header of a response without a body after the return.
 	c.setRequestState(requestAnswered)
 	g.parent.answered.Add(1)
 }
 
-// responseWriter makes a response close its connection if the server is draining when the response begins, so that the next request
-// goes to another VM.
+// responseWriter makes a response close its connection if the server had other options when the request began, so that the next request
+// is subject to them, or is draining when the response begins, so that the next request goes to another VM. Requests that the caller
+// has sent already are answered before, also where the handler closes the connection.
 type responseWriter struct {
 	http.ResponseWriter
-	server   *Server
-	conn     *conn
-	hasBegun bool
+	server     *Server
+	conn       *conn
+	isReplaced bool
+	hasBegun   bool
 }
 
 func (w *responseWriter) begin() {
@@ -76,8 +84,12 @@
 		return
 	}
 	w.hasBegun = true
-	if w.server.draining.Load() {
+	isDraining := w.server.draining.Load()
+	if w.isReplaced || isDraining || strings.EqualFold(w.Header().Get("Connection"), "close") {
 		w.Header().Set("Connection", "close")
+		if w.conn.keep(isDraining && !w.server.isClosing()) {
+			w.Header().Del("Connection")
+		}
 	}
 	w.conn.setRequestState(requestAnswering)
 }
@@ -101,18 +113,41 @@
 type timedBody struct {
 	io.ReadCloser
 	connection *http.ResponseController
+
+	mu sync.Mutex
+	// ended reports whether the body is not read any more.
+	ended bool
 }
 
+// newTimedBody returns the body of a request that has to end within the timeout; 0 is no limit.
 func newTimedBody(w http.ResponseWriter, body io.ReadCloser, timeout time.Duration) *timedBody {
-	b := &timedBody{body, http.NewResponseController(w)}
-	_ = b.connection.SetReadDeadline(time.Now().Add(timeout)) // A connection that has been closed needs no deadline.
+	b := &timedBody{ReadCloser: body, connection: http.NewResponseController(w)}
+	if timeout > 0 {
+		_ = b.connection.SetReadDeadline(time.Now().Add(timeout)) // A connection that has been closed needs no deadline.
+	}
 	return b
 }
 
+// expire lets the read of an unfinished body fail now. A deadline after its end would look like a caller that has disconnected.
+func (b *timedBody) expire() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.ended {
+		_ = b.connection.SetReadDeadline(time.Now()) // As in newTimedBody.
+	}
+}
+
+func (b *timedBody) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ended = true
+}
+
 // Read implements io.Reader.
 func (b *timedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
+		b.end()
 		// net/http goes on reading to notice when the caller disconnects.
 		_ = b.connection.SetReadDeadline(time.Time{}) // As above.
 	}
--- a/internal/httpserver/pipeline_test.go
+++ b/internal/httpserver/pipeline_test.go
@@ -1,8 +1,10 @@
 package httpserver
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -100,3 +102,138 @@
 	require.Less(t, c.waitForClose(), long/8)
 	require.NoError(t, <-drained)
 }
+
+// Guards against a request whose header was read whole with the one before it, and whose connection is closed as unused while the
+// body is on its way.
+func TestDrainAnswersARequestWhoseHeaderCameInOneSegmentWithTheOneBefore(t *testing.T) {
+	for _, first := range []string{"GET / HTTP/1.1\r\nHost: h\r\n\r\n", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody\r\n"} {
+		t.Run(first, func(t *testing.T) {
+			t.Parallel()
+			s := start(t, readBody, patient)
+			c := dial(t, s)
+			c.send("%sPOST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n", first)
+			c.readNoContent()
+			time.Sleep(short)
+			drained := drainWithin(s, long/4)
+			time.Sleep(short)
+			c.send("body")
+			c.readNoContent()
+			require.NoError(t, <-drained)
+		})
+	}
+}
+
+// Guards against a request that was read in one segment with the one before it, and whose connection is closed without its answer
+// because a stop or a change of the limits began while the first one was handled.
+func TestRequestThatWasReadBeforeACloseIsAnswered(t *testing.T) {
+	const (
+		get     = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+		post    = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+		chunked = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	)
+	for name, change := range map[string]func(*Server){
+		"drain":        func(s *Server) { drainWithin(s, long) },
+		"other limits": func(s *Server) { s.SetOptions(Options{IdleTimeout: long}) },
+		"":             func(*Server) {},
+	} {
+		// A second piece is sent after the first answer.
+		for form, pieces := range map[string][]string{
+			"GET":               {get + get + get},
+			"POST":              {post + post + post},
+			"chunked":           {chunked + chunked + chunked},
+			"mixed":             {chunked + get + post},
+			"empty lines":       {post + "\r\n" + post + "\n\n" + get},
+			"part of a request": {get + get + get + get[:20]},
+			"body later":        {get + post + post[:len(post)-4], "body"},
+		} {
+			for answer, reply := range map[string]http.HandlerFunc{
+				"written": replyNoContent, "implicit": func(http.ResponseWriter, *http.Request) {},
+				"closing": func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set("Connection", "close")
+					replyNoContent(w, r)
+				},
+			} {
+				if name == "" && answer != "closing" {
+					continue
+				}
+				t.Run(name+"/"+form+"/"+answer, func(t *testing.T) {
+					t.Parallel()
+					entered, release := make(chan struct{}, 3), make(chan struct{})
+					s := start(t, func(w http.ResponseWriter, r *http.Request) {
+						_, _ = io.Copy(io.Discard, r.Body) // The test checks the answers.
+						entered <- struct{}{}
+						<-release
+						reply(w, r)
+					}, patient)
+					c := dial(t, s)
+					c.send("%s", pieces[0])
+					<-entered
+					change(s)
+					time.Sleep(short)
+					close(release)
+					for i := range 3 {
+						if i == 1 && len(pieces) > 1 {
+							c.send("%s", pieces[1])
+						}
+						res, err := http.ReadResponse(c.reader, nil)
+						require.NoError(t, err, "answer %d", i+1)
+						require.NoError(t, res.Body.Close())
+						require.Less(t, res.StatusCode, http.StatusMultipleChoices)
+						require.Equal(t, i == 2, res.Close, "the last answer announces the close")
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against a request that was sent before the answer to the one before it, and whose connection is closed without its answer by a
+// stop or a change of the limits. At the end of a drain such a request is refused at once, so that none is sent behind it for long.
+func TestRequestThatWasSentBeforeACloseIsAnswered(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		change    func(*Server)
+		isRefused bool
+	}{
+		{"begin of a drain", func(s *Server) {
+			ctx, cancel := context.WithTimeout(context.Background(), long)
+			time.AfterFunc(long, cancel)
+			go func() { _ = s.Drain(ctx, long/2) }() // The test checks the answers.
+		}, false},
+		{"end of a drain", func(s *Server) { drainWithin(s, long) }, true},
+		{"other limits", func(s *Server) { s.SetOptions(Options{IdleTimeout: long}) }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			entered, release := make(chan struct{}, 4), make(chan struct{}, 4)
+			var refused atomic.Int32
+			s := start(t, func(w http.ResponseWriter, r *http.Request) {
+				entered <- struct{}{}
+				select {
+				case <-release:
+				case <-r.Context().Done():
+					refused.Add(1)
+				}
+				replyNoContent(w, r)
+			}, patient)
+			x := dial(t, s)
+			x.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			<-entered
+			x.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			c.change(s)
+			time.Sleep(short)
+			release <- struct{}{}
+			x.readNoContent()
+			<-entered
+			if !c.isRefused {
+				release <- struct{}{}
+			}
+			res, err := http.ReadResponse(x.reader, nil)
+			require.NoError(t, err)
+			require.NoError(t, res.Body.Close())
+			require.True(t, res.Close)
+			require.Equal(t, c.isRefused, refused.Load() == 1)
+			x.waitForClose()
+		})
+	}
+}
--- a/internal/modules/controllog/disks_test.go
+++ b/internal/modules/controllog/disks_test.go
@@ -163,6 +163,9 @@
 // snapshotEntries is snapshot_entries in diskKeys.
 const snapshotEntries = 20
 
+// diskOperations are the operations that a full disk refuses alone or together.
+var diskOperations = []fsystest.Operation{fsystest.OpCreate, fsystest.OpWrite, fsystest.OpRename, fsystest.OpRemove, fsystest.OpSyncFolder}
+
 // disksRun is a group whose disks are full one after another. Its kernels are started and stopped under the lock mu.
 type disksRun struct {
 	*group
@@ -247,8 +250,7 @@
 	}
 }
 
-// complete reports whether all VMs are members and at least three of them voters. A voter that is back between the promotion of
-// its replacement and its removal stays a voter.
+// complete reports whether all VMs are members and as many of them voters as max_voters in diskKeys allows.
 func (r *disksRun) complete() bool {
 	leader := r.leader()
 	voters := 0
@@ -258,7 +260,7 @@
 			voters++
 		}
 	}
-	return len(members) == len(r.vms) && voters >= r.first
+	return len(members) == len(r.vms) && voters == r.first
 }
 
 // offer proposes a change at each VM until one acknowledges it or the context ends.
@@ -341,7 +343,7 @@
 		full = syscall.EDQUOT
 	}
 	disk := r.disks[vm]
-	ops := []fsystest.Operation{fsystest.OpCreate, fsystest.OpWrite, fsystest.OpRename, fsystest.OpRemove}
+	ops := diskOperations
 	if kind := r.random.IntN(len(ops) + 3); kind == len(ops)+2 {
 		r.note("%s refuses syncs: %v", vm, full)
 		disk.FailSyncs(full)
@@ -364,7 +366,7 @@
 		return
 	}
 	r.note("%s has room again", vm)
-	for _, op := range []fsystest.Operation{fsystest.OpCreate, fsystest.OpWrite, fsystest.OpRename, fsystest.OpRemove} {
+	for _, op := range diskOperations {
 		r.disks[vm].Refuse(op, nil)
 	}
 	r.disks[vm].SetCapacity(0)
--- a/internal/modules/leafpool/leafpool_test.go
+++ b/internal/modules/leafpool/leafpool_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -87,7 +89,7 @@
 func send(m *Module, l *leaves.Member, id string) (chan forward.AttemptResult, func()) {
 	done := make(chan forward.AttemptResult, 1)
 	req := &forward.LeafRequest{Request: &forward.Request{ID: id}, Until: time.Now().Add(5 * time.Second), Repeatable: true}
-	return done, m.Send(l, req, func(e forward.AttemptResult) { done <- e })
+	return done, m.Send(l, req, func(e forward.AttemptResult) { done <- e }).Cancel
 }
 
 // Guards against a new connection for each request, and against more connections than the VM's limit.
@@ -398,9 +400,9 @@
 	m := newModule(t, l, 1)
 	available := make(chan int, 1)
 	req := &forward.LeafRequest{Request: &forward.Request{ID: "a"}, Until: time.Now().Add(5 * time.Second)}
-	cancel := m.Send(l, req, func(forward.AttemptResult) { available <- m.AvailableConnections(l) })
+	sent := m.Send(l, req, func(forward.AttemptResult) { available <- m.AvailableConnections(l) })
 	require.Eventually(t, func() bool { return m.AvailableConnections(l) == 0 }, 5*time.Second, time.Millisecond)
-	cancel()
+	sent.Cancel()
 	require.Equal(t, 1, <-available, "cancelled")
 }
 
@@ -409,6 +411,7 @@
 func TestEndedConnectionIsNotCountedWhenAnUnsentAttemptIsReported(t *testing.T) {
 	for name, prepare := range map[string]func(*conn, *attempt){
 		"cancelled":          func(_ *conn, a *attempt) { a.cancelled = true },
+		"withdrawn":          func(_ *conn, a *attempt) { require.True(t, a.Withdraw()) },
 		"closed by the leaf": func(c *conn, _ *attempt) { c.fail(io.EOF)() },
 	} {
 		l, _ := startLeaf(t, echo)
@@ -433,3 +436,178 @@
 		require.Equal(t, 1, <-available, name)
 	}
 }
+
+// Guards against a request that is written after it was withdrawn as not sent, and against one that is withdrawn although it may have
+// been written.
+func TestWithdrawnAttemptIsNotWritten(t *testing.T) {
+	received := make(chan string, 1)
+	l, _ := startLeaf(t, func(_ net.Conn, r *bufio.Reader) {
+		line, err := r.ReadString('\n')
+		if err == nil {
+			received <- line
+		}
+	})
+	outcomes := map[bool]int{}
+	for i := range 400 {
+		m := newModule(t, l, 1)
+		opening, open := make(chan struct{}), make(chan struct{})
+		m.dialer.Control = func(string, string, syscall.RawConn) error {
+			close(opening)
+			<-open
+			return nil
+		}
+		done := make(chan forward.AttemptResult, 1)
+		req := &forward.LeafRequest{Request: &forward.Request{ID: "a"}, Until: time.Now().Add(5 * time.Second)}
+		a := m.Send(l, req, func(r forward.AttemptResult) { done <- r })
+		<-opening
+		if i%2 == 0 {
+			require.True(t, a.Withdraw(), "the connection is still being opened")
+			close(open)
+		} else {
+			close(open)
+			time.Sleep(time.Duration(i) * time.Microsecond)
+		}
+		withdrawn := a.Withdraw()
+		outcomes[withdrawn]++
+		require.Equal(t, !withdrawn, (<-done).Sent)
+		if !withdrawn {
+			require.Equal(t, "a\n", <-received)
+			require.False(t, a.Withdraw(), "the leaf has the request")
+		}
+		require.Empty(t, received)
+	}
+	require.Positive(t, outcomes[false])
+	require.Positive(t, outcomes[true])
+}
+
+// writeFailure is how the writes on a connection fail.
+type writeFailure struct {
+	// accepted is how many bytes are written before the failure.
+	accepted int
+	// resetDuringWrite lets reads fail before the write returns. closedBeforeWrite lets setting the deadline fail.
+	resetDuringWrite, closedBeforeWrite bool
+}
+
+// failingNet is a connection on which nothing is read.
+type failingNet struct {
+	net.Conn
+	writeFailure
+	written       atomic.Int32
+	reset, closed chan struct{}
+	closing       sync.Once
+}
+
+func (n *failingNet) SetDeadline(time.Time) error {
+	if n.closedBeforeWrite {
+		_ = n.Close() // It does not fail.
+		return net.ErrClosed
+	}
+	return nil
+}
+
+func (n *failingNet) Read([]byte) (int, error) {
+	select {
+	case <-n.reset:
+		return 0, syscall.ECONNRESET
+	case <-n.closed:
+		return 0, net.ErrClosed
+	}
+}
+
+func (n *failingNet) Write([]byte) (int, error) {
+	if n.resetDuringWrite {
+		close(n.reset)
+		time.Sleep(10 * time.Millisecond) // The reading goroutine notices the reset.
+	}
+	n.written.Add(int32(n.accepted))
+	return n.accepted, syscall.EPIPE
+}
+
+func (n *failingNet) Close() error {
+	n.closing.Do(func() { close(n.closed) })
+	return nil
+}
+
+// Guards against 502 for a request that may run only once and of which no byte was written, because its connection had been reset or
+// closed, and against one that counts as not sent although a part of it was written.
+func TestRequestIsUnsentIfNoByteWasWritten(t *testing.T) {
+	for _, failure := range []writeFailure{
+		{}, {accepted: 1}, {closedBeforeWrite: true}, {resetDuringWrite: true}, {resetDuringWrite: true, accepted: 1},
+	} {
+		for _, id := range []string{"a", strings.Repeat("a", 2*maxInlineBytes)} {
+			l, _ := startLeaf(t, echo)
+			m := newModule(t, l, 1)
+			m.mu.Lock()
+			p := m.poolOf(l)
+			p.open++
+			m.mu.Unlock()
+			n := &failingNet{writeFailure: failure, reset: make(chan struct{}), closed: make(chan struct{})}
+			c := newConn(p, n)
+			go c.read()
+			done := make(chan forward.AttemptResult, 1)
+			req := &forward.LeafRequest{Request: &forward.Request{ID: id}, Until: time.Now().Add(5 * time.Second)}
+			c.start(&attempt{module: m, req: req, started: time.Now(), done: func(r forward.AttemptResult) { done <- r }})
+			r := <-done
+			require.Error(t, r.Err)
+			require.Equal(t, failure.accepted > 0, r.Sent, "%d bytes, %+v", len(id), failure)
+			require.EqualValues(t, failure.accepted, n.written.Load())
+		}
+	}
+}
+
+// refusingProtocol is lineProtocol with replies that begin with a minus sign and state that the request was not run.
+type refusingProtocol struct{ lineProtocol }
+
+func (refusingProtocol) ReadReply(r *bufio.Reader, req *forward.LeafRequest) (*forward.LeafReply, bool, error) {
+	line, err := r.ReadString('\n')
+	if err != nil {
+		return nil, false, err
+	}
+	id, notRun := strings.CutPrefix(strings.TrimSpace(line), "-")
+	return &forward.LeafReply{Status: 200, Signature: "s", NotRun: notRun, Identified: id == req.ID}, true, nil
+}
+
+// Guards against 503 for a repeatable request that has run, because a second copy of "not run" on the connection of an earlier attempt
+// was taken for the reply to a later one; and against connections of other requests that are closed to prevent it.
+func TestSecondCopyOfARefusalDoesNotAnswerARepeatedRequest(t *testing.T) {
+	for _, others := range []int{0, 1} {
+		var ran, refused atomic.Int32
+		l, count := startLeaf(t, func(c net.Conn, r *bufio.Reader) {
+			copied := ""
+			for {
+				line, err := r.ReadString('\n')
+				if err != nil {
+					return
+				}
+				switch {
+				case line == "b\n":
+					time.Sleep(20 * time.Millisecond) // The other request gets a connection of its own.
+				case refused.Add(1) == 1:
+					copied = "-" + line
+					line = copied
+				default:
+					ran.Add(1)
+					line = copied + line
+				}
+				_, _ = c.Write([]byte(line)) // The test detects a missing reply.
+			}
+		})
+		m := newModule(t, l, 10)
+		m.protocol = refusingProtocol{}
+		var done []chan forward.AttemptResult
+		for range others {
+			d, _ := send(m, l, "b")
+			done = append(done, d)
+		}
+		d, _ := send(m, l, "a")
+		require.True(t, (<-d).Reply.NotRun)
+		for _, d := range done {
+			require.NotNil(t, (<-d).Reply)
+		}
+		d, _ = send(m, l, "a")
+		r := <-d
+		require.EqualValues(t, 1, ran.Load())
+		require.True(t, r.MayHaveRun(), "the leaf has run it")
+		require.EqualValues(t, 2, count.Load())
+	}
+}
