Pass on the wake-up of a request that gives up its part

A request waited for a connection to a leaf although one was available, until it was refused, timed out or something else woke it. This happened when the request ahead of it was woken for the connection, gave up the part that waited (for example because the budget allowed no extra attempt) and went on with its other parts.

Only a request that ended passed its wake-up on. Each request now records for which services it was woken. When it leaves a queue, and the step after the wake-up has sent nothing to a leaf of that service, it wakes the next request behind it if a leaf of the service has an available connection. A connection that was freed thus wakes one request after the other only until one uses it. A wake-up that arrives during a step counts for the next step, and is passed on too if the request leaves the queue meanwhile.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -431,7 +431,7 @@
 func (r *Run) Waiting() []model.ServiceName {
 	var out []model.ServiceName
 	for i := range r.parts {
-		if p := &r.parts[i]; p.waiting && p.reply == nil && !p.failed {
+		if p := &r.parts[i]; p.waiting && p.reply == nil && !p.failed && !slices.Contains(out, p.service) {
 			out = append(out, p.service)
 		}
 	}
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -188,6 +188,13 @@
 	return best
 }
 
+// HasAvailable reports whether Choose returns a leaf of the list for an attempt that was sent to none of them.
+func (t *Tracker) HasAvailable(now time.Time, list []*leaves.Member, connections Connections) bool {
+	return slices.ContainsFunc(list, func(m *leaves.Member) bool {
+		return !t.Refuses(now, m) && connections.AvailableConnections(m) > 0
+	})
+}
+
 // cost returns the expected latency of a leaf, weighted with its failures, in units of the typical latency of the route.
 // badRate is the rate of bad attempts at the leaf across all entry VMs, if it is an outlier.
 func (t *Tracker) cost(now time.Time, m *leaves.Member, s *leafStats, typical time.Duration, badRate float64) float64 {
--- a/internal/modules/forwarder/waiters.go
+++ b/internal/modules/forwarder/waiters.go
@@ -32,13 +32,22 @@
 	}
 }
 
-// wake lets the first waiting request of a service try again. Requests that were woken and have not run since are skipped.
-func (w waiters) wake(service model.ServiceName) {
-	for _, r := range w[service] {
-		select {
-		case r.wakes <- struct{}{}:
+// wake lets the first waiting request of a service try again. Requests that were woken for the service and have not run since are
+// skipped.
+func (w waiters) wake(service model.ServiceName) { wakeFirst(service, w[service]) }
+
+// wakeBehind is wake for the requests behind r.
+func (w waiters) wakeBehind(service model.ServiceName, r *runner) {
+	list := w[service]
+	wakeFirst(service, list[slices.Index(list, r)+1:])
+}
+
+func wakeFirst(service model.ServiceName, list []*runner) {
+	for _, r := range list {
+		if !slices.Contains(r.wokenFor, service) {
+			r.wokenFor = append(r.wokenFor, service)
+			r.wake()
 			return
-		default:
 		}
 	}
 }
@@ -47,10 +56,7 @@
 func (w waiters) wakeAll() {
 	for _, list := range w {
 		for _, r := range list {
-			select {
-			case r.wakes <- struct{}{}:
-			default: // It is woken already.
-			}
+			r.wake()
 		}
 	}
 }
