Pass on the wake-up of a request that goes on waiting

A request waited for a connection to a leaf although one was available, until it was refused, timed out or something else woke it. This happened when the request ahead of it was woken for the connection and could not use it, because that leaf had rejected it before, or because it still waited for the grant of an extra attempt.

Such a request stays in the queue, and its wake-up ended there. It now wakes the next request behind it in the queue, under the same conditions as a request that leaves the queue: the step has sent nothing to a leaf of the service, and a connection is still available. A freed connection costs at most one step of each request that cannot use it.

TestWakeUpIsPassedOnToOneRequest is new and guards the bound and the order.

--- a/internal/modules/forwarder/runner.go
+++ b/internal/modules/forwarder/runner.go
@@ -227,7 +227,7 @@
 func (r *runner) updateQueues(now time.Time, sends []forward.Send) {
 	defer func() { r.woken = r.woken[:0] }()
 	services := r.state.Waiting()
-	if slices.Equal(services, r.waiting) {
+	if slices.Equal(services, r.waiting) && len(r.woken) == 0 {
 		return
 	}
 	m := r.module
@@ -236,6 +236,11 @@
 	r.woken = slices.DeleteFunc(r.woken, func(service model.ServiceName) bool {
 		return slices.ContainsFunc(sends, func(s forward.Send) bool { return s.Leaf.Service == service })
 	})
+	for _, service := range r.woken {
+		if slices.Contains(services, service) {
+			r.passOn(now, service)
+		}
+	}
 	left, entered := without(r.waiting, services), without(services, r.waiting)
 	r.leave(now, left)
 	m.waiters.add(entered, r)
--- a/internal/modules/forwarder/waiters_test.go
+++ b/internal/modules/forwarder/waiters_test.go
@@ -13,6 +13,8 @@
 	"github.com/chestnuttiller/chestnuttiller/internal/forward"
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
+	"github.com/chestnuttiller/chestnuttiller/internal/model"
+	"github.com/chestnuttiller/chestnuttiller/internal/routes"
 )
 
 // freedTransport has no available connection to the leaf b-2 until one is freed, and none to the leaf b after its first request, which
@@ -58,6 +60,33 @@
 // for lack of budget and goes on with the other parts.
 func TestWakeUpIsPassedOnByARequestThatDoesNotUseIt(t *testing.T) {
 	m, _ := newPartitionModule(t)
+	x := freeConnection(t, m)
+	require.Eventually(t, func() bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return !slices.ContainsFunc(m.waiters["b"], func(r *runner) bool { return r.req.ID == "first" })
+	}, 3*time.Second, time.Millisecond, "the first request has given up its part")
+	x.requireUsed(t)
+}
+
+// silentGranter never answers.
+type silentGranter struct{}
+
+func (silentGranter) RequestExtras(ctx context.Context, _ []model.ServiceName) ([]bool, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// Guards against a request that waits although a connection is available, because the request that was woken for it waits for the
+// grant of an extra attempt.
+func TestWakeUpIsPassedOnByARequestThatWaitsForAGrant(t *testing.T) {
+	m, _ := newPartitionModule(t)
+	m.granter, m.grants = silentGranter{}, forward.NewGrantBook()
+	freeConnection(t, m).requireUsed(t)
+}
+
+// freeConnection frees a connection for which two requests wait. The first of them needs an extra attempt.
+func freeConnection(t *testing.T, m *Module) *freedTransport {
 	x := &freedTransport{}
 	m.transport = x
 	view := m.control.View()
@@ -100,14 +129,130 @@
 	m.mu.Lock()
 	m.waiters.wake("b")
 	m.mu.Unlock()
-	require.Eventually(t, func() bool {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		return !slices.ContainsFunc(m.waiters["b"], func(r *runner) bool { return r.req.ID == "first" })
-	}, 3*time.Second, time.Millisecond, "the first request has given up its part")
+	return x
+}
+
+func (x *freedTransport) requireUsed(t *testing.T) {
 	require.Eventually(t, func() bool {
 		x.mu.Lock()
 		defer x.mu.Unlock()
 		return x.available == 0
 	}, 3*time.Second, time.Millisecond, "the connection is not used")
 }
+
+// rejectingTransport has no available connection to the leaf b-2. The leaf b does not run its first request, and has no available
+// connection after it until one is freed. The leaf c never replies.
+type rejectingTransport struct {
+	partitionTransport
+	mu        sync.Mutex
+	sent      []string
+	available int
+}
+
+func (x *rejectingTransport) AvailableConnections(l *leaves.Member) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	switch l.ID {
+	case "b":
+		return x.available
+	case "b-2":
+		return 0
+	}
+	return 1
+}
+
+func (x *rejectingTransport) Send(l *leaves.Member, req *forward.LeafRequest, done func(forward.AttemptResult)) kernel.LeafAttempt {
+	switch l.ID {
+	case "b":
+		x.mu.Lock()
+		x.available--
+		x.sent = append(x.sent, req.ID)
+		first := len(x.sent) == 1
+		x.mu.Unlock()
+		if first {
+			done(forward.AttemptResult{Reply: &forward.LeafReply{Status: 503, NotRun: true}, Sent: true, Latency: time.Millisecond})
+			return sentAttempt(func() {})
+		}
+	case "c":
+		return sentAttempt(func() {})
+	}
+	return x.partitionTransport.Send(l, req, done)
+}
+
+// Guards against a request that waits although a connection is available, because the request that was woken for it was rejected by
+// that leaf before and goes on waiting for another one.
+func TestWakeUpIsPassedOnByARequestThatCannotUseIt(t *testing.T) {
+	m, _ := newPartitionModule(t)
+	x := &rejectingTransport{available: 1}
+	m.transport = x
+	view := m.control.View()
+	second := *view.Leaves.Services["b"][0]
+	second.ID = "b-2"
+	view.Leaves.Services["b"] = append(view.Leaves.Services["b"], &second)
+	route := view.Routes.Match("h", "/")
+	route.Timeout, route.Objective = time.Minute, 40*time.Second
+	waiting := func(n int) func() bool {
+		return func() bool {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			list := m.waiters["b"]
+			for _, r := range list {
+				if len(r.wakes) > 0 {
+					return false
+				}
+			}
+			return len(list) == n
+		}
+	}
+	for i, id := range []string{"rejected", "next"} {
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		// The request is old enough not to be woken to check for unresponsive zones.
+		go m.Forward(ctx, &forward.Request{ID: id, Host: "h", Path: "/", Received: time.Now().Add(-zoneCheckEnd), Deadline: time.Now().Add(time.Minute)})
+		require.Eventually(t, waiting(i+1), 3*time.Second, time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond)
+	for _, l := range view.Leaves.Services["b"] {
+		require.False(t, m.tracker.Refuses(time.Now(), l))
+	}
+	x.mu.Lock()
+	x.available = 1
+	x.mu.Unlock()
+	m.mu.Lock()
+	m.waiters.wake("b")
+	m.mu.Unlock()
+	require.Eventually(t, func() bool {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		return len(x.sent) == 2
+	}, 3*time.Second, time.Millisecond, "the connection is not used")
+	require.Equal(t, []string{"rejected", "next"}, x.sent)
+}
+
+// Guards against a wake-up of all waiting requests for one connection, against one that is passed on although the connection is used
+// meanwhile, and against one that goes to a request ahead.
+func TestWakeUpIsPassedOnToOneRequest(t *testing.T) {
+	m, available := newPartitionModule(t)
+	runnerOf := func(rank int) *runner {
+		r := &runner{module: m, route: &routes.Route{Rank: rank}, wakes: make(chan struct{}, 1), waiting: []model.ServiceName{"b"}}
+		m.waiters.add(r.waiting, r)
+		return r
+	}
+	woken, next, last := runnerOf(1), runnerOf(1), runnerOf(2)
+	m.waiters.wake("b")
+	require.Len(t, woken.wakes, 1)
+	woken.takeWakes()
+	require.Equal(t, []model.ServiceName{"b"}, woken.woken)
+	ahead := runnerOf(0)
+	m.transport = &fullTransport{full: "b"}
+	woken.passOn(m.now(), "b")
+	require.Empty(t, next.wakes)
+	m.transport = available
+	woken.passOn(m.now(), "b")
+	require.Len(t, next.wakes, 1)
+	for _, r := range []*runner{ahead, woken, last} {
+		require.Empty(t, r.wakes)
+	}
+	next.leave(m.now(), next.waiting)
+	require.Len(t, last.wakes, 1, "the wake-up arrived during the last step of a request")
+}
