Send waiting requests to a leaf whose pause ends

A request that waited for a busy leaf was refused or timed out although another leaf of its service, which had asked for a pause, took requests again meanwhile.

The end of a pause was a time of the next step only if all leaves of the service were paused. The run now also steps at the end of the first pause of a leaf to which the waiting part was not sent. It uses the timer of the request. A time that has passed is not used, so that the run does not step without pause.

TestPauseEndIsThatOfALeafThatCanBeUsed is new.

--- a/internal/forward/pause_test.go
+++ b/internal/forward/pause_test.go
@@ -108,6 +108,57 @@
 	require.Equal(t, "a2", sends[0].Leaf.ID)
 }
 
+// Guards against a request that waits for a busy leaf and misses the end of the pause of another one, and against one that is evaluated
+// again and again after it.
+func TestRequestThatWaitsForABusyLeafNoticesTheEndOfAPause(t *testing.T) {
+	e := newEnv("a")
+	e.full["a1"] = true
+	e.paused = map[string]time.Time{"a2": at(80), "a3": at(60)}
+	r := newRun(singleRoute(true), e)
+	sends, response, wake := r.Step(start)
+	require.Empty(t, sends)
+	require.Nil(t, response)
+	require.Equal(t, at(60), wake)
+	e.full["a3"] = true
+	_, _, wake = r.Step(wake)
+	require.Equal(t, at(80), wake)
+	e.full["a2"] = true
+	_, _, wake = r.Step(wake)
+	require.Equal(t, at(100), wake, "the request is refused")
+	e.full["a2"] = false
+	sends, _, _ = r.Step(at(90))
+	require.Equal(t, "a2", sends[0].Leaf.ID)
+
+	scatter := newEnv("a", "b", "c", "d")
+	scatter.full["a1"], scatter.full["a2"], scatter.full["a3"] = true, true, true
+	scatter.paused = map[string]time.Time{"a3": at(988)}
+	r = newRun(scatterRoute(1), scatter)
+	r.Step(start)
+	_, _, wake = r.Step(at(987))
+	require.Equal(t, at(988), wake)
+	now := r.deadline.Add(-minTimeLeft / 2)
+	_, response, wake = r.Step(now)
+	require.True(t, response != nil || wake.After(now), "the time of the next step is past")
+}
+
+// The first of the pauses of leaves that were not tried counts, and none of a leaf that is leaving. Guards against a request that is
+// woken for a leaf that it cannot use.
+func TestPauseEndIsThatOfALeafThatCanBeUsed(t *testing.T) {
+	x := NewTracker(TrackerOptions{Zone: "z"}, testRandom())
+	list := members(4)
+	require.Zero(t, x.PauseEnd(start, list, nil))
+	for i, d := range []time.Duration{2 * time.Second, time.Second, 3 * time.Second} {
+		result := pauseFor(d)
+		result.Reply.Leaving = i == 1
+		x.AttemptStarted(start, "r", list[i])
+		x.AttemptEnded(start, "r", list[i], start, &result, false)
+	}
+	require.Equal(t, start.Add(2*time.Second), x.PauseEnd(start, list, nil))
+	require.Equal(t, start.Add(3*time.Second), x.PauseEnd(start, list, list[:1]))
+	require.Equal(t, start.Add(3*time.Second), x.PauseEnd(start.Add(2*time.Second), list, nil))
+	require.Zero(t, x.PauseEnd(start.Add(3*time.Second), list, nil))
+}
+
 // Guards against a request that a leaf has turned away and that is not sent to another one, and against a refusal that invites the
 // caller back before a leaf takes requests again.
 func TestTurnedAwayRequestGoesToAnotherLeaf(t *testing.T) {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -36,6 +36,9 @@
 	// NextReturn returns when the first of the leaves of a service that have asked for a pause takes requests again. It is
 	// zero when none has, or when another leaf takes requests now.
 	NextReturn(now time.Time, service model.ServiceName) time.Time
+	// PauseEnd returns when the first of the leaves of a service that were not tried and have asked for a pause takes requests again, or
+	// zero.
+	PauseEnd(now time.Time, service model.ServiceName, tried []*leaves.Member) time.Time
 	// CountFirst counts a first attempt at a service. TryExtra counts an extra attempt if the budget of the service allows it.
 	CountFirst(now time.Time, service model.ServiceName)
 	TryExtra(now time.Time, service model.ServiceName, hedge bool) Extra
@@ -90,6 +93,8 @@
 	failed  bool
 	// waiting reports whether the part waits because no leaf has an available connection.
 	waiting bool
+	// pauseEnd is when the first of the leaves that have asked for a pause takes a waiting part. It is zero when none has.
+	pauseEnd time.Time
 	// retryAt is when the leaves, none of which ran the request, are tried again. It is zero before all were tried.
 	retryAt time.Time
 	// pausedUntil is the end of the pause that the leaves have asked for, when it is what the part failed for.
@@ -217,6 +222,9 @@
 			if p.retryAt.After(now) {
 				return sends, p.retryAt
 			}
+			if p.waiting && p.pauseEnd.After(now) {
+				return sends, earlier(p.pauseEnd, r.deadline)
+			}
 			return sends, r.deadline
 		}
 	}
@@ -273,7 +281,7 @@
 	if leaf == nil {
 		// A part whose leaves were all tried fails; one whose untried leaves have no available connection waits.
 		p.waiting = r.env.HasUntried(now, p.service, p.tried) || len(p.attempts) == 0 && now.Before(r.refuseAt)
-		p.failed = !p.waiting
+		p.failed, p.pauseEnd = !p.waiting, r.env.PauseEnd(now, p.service, p.tried)
 		return sends
 	}
 	if first {
--- a/internal/forward/run_test.go
+++ b/internal/forward/run_test.go
@@ -82,6 +82,15 @@
 	return first
 }
 
+func (e *fakeEnv) PauseEnd(now time.Time, s model.ServiceName, tried []*leaves.Member) (first time.Time) {
+	for _, m := range e.untried(s, tried) {
+		if end := e.paused[m.ID]; now.Before(end) && (first.IsZero() || end.Before(first)) {
+			first = end
+		}
+	}
+	return first
+}
+
 func (e *fakeEnv) CountFirst(time.Time, model.ServiceName) { e.firstAttempts++ }
 func (e *fakeEnv) TryExtra(time.Time, model.ServiceName, bool) Extra {
 	if e.pending > 0 {
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -339,6 +339,21 @@
 	return first
 }
 
+// PauseEnd returns when the first of the listed leaves that were not tried and have asked for a pause may be sent requests again. It is
+// zero when none has.
+func (t *Tracker) PauseEnd(now time.Time, list, tried []*leaves.Member) (first time.Time) {
+	for _, m := range list {
+		s := t.leaves[m.Key()]
+		if s == nil || s.leaving || !s.refuses(now) || slices.ContainsFunc(tried, func(x *leaves.Member) bool { return x.ID == m.ID }) {
+			continue
+		}
+		if first.IsZero() || s.pausedUntil.Before(first) {
+			first = s.pausedUntil
+		}
+	}
+	return first
+}
+
 // unresponsiveAfter returns the age from which an unanswered attempt on the route means that its leaf is unresponsive.
 func (t *Tracker) unresponsiveAfter(route string) time.Duration {
 	return max(minUnresponsiveTime, stallFactor*t.typicalLatency(route))
--- a/internal/modules/forwarder/runner.go
+++ b/internal/modules/forwarder/runner.go
@@ -315,6 +315,14 @@
 	return m.tracker.NextReturn(now, m.members(service))
 }
 
+// PauseEnd implements forward.Env.
+func (r *runner) PauseEnd(now time.Time, service model.ServiceName, tried []*leaves.Member) time.Time {
+	m := r.module
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tracker.PauseEnd(now, m.members(service), tried)
+}
+
 // CountFirst implements forward.Env.
 func (r *runner) CountFirst(now time.Time, service model.ServiceName) {
 	m := r.module
--- a/internal/modules/forwarder/waiters_test.go
+++ b/internal/modules/forwarder/waiters_test.go
@@ -256,3 +256,33 @@
 	next.leave(m.now(), next.waiting)
 	require.Len(t, last.wakes, 1, "the wake-up arrived during the last step of a request")
 }
+
+// Guards against a request that waits for a busy leaf until it is refused or times out, although the pause that another leaf has asked
+// for has ended meanwhile.
+func TestWaitingRequestNoticesTheEndOfAPause(t *testing.T) {
+	const pause = 200 * time.Millisecond
+	m, _ := newPartitionModule(t)
+	m.transport = &fullTransport{full: "b"}
+	view := m.control.View()
+	paused := *view.Leaves.Services["b"][0]
+	paused.ID = "b-2"
+	view.Leaves.Services["b"] = append(view.Leaves.Services["b"], &paused)
+	route := view.Routes.Match("h", "/")
+	route.Timeout, route.Objective, route.MinCoverage = time.Minute, 40*time.Second, 1
+	now := time.Now()
+	m.tracker.AttemptStarted(now, "r", &paused)
+	reply := &forward.LeafReply{Status: 503, NotRun: true, RetryAfter: pause}
+	require.Equal(t, pause, m.tracker.AttemptEnded(now, "r", &paused, now, &forward.AttemptResult{Reply: reply, Sent: true}, false).Paused)
+	done := make(chan *forward.Response, 1)
+	go func() {
+		// The request is old enough not to be woken to check for unresponsive zones.
+		done <- m.Forward(context.Background(), &forward.Request{ID: "x", Host: "h", Path: "/", Received: now.Add(-zoneCheckEnd), Deadline: now.Add(time.Minute)})
+	}()
+	select {
+	case r := <-done:
+		require.Equal(t, forward.KindMerged, r.Kind)
+		require.Zero(t, r.Missing)
+	case <-time.After(3 * time.Second):
+		require.Fail(t, "the request still waits")
+	}
+}
