Replace idle connections that are too old

The first request after an idle time of a leaf was told that all connections to the leaf were busy, although none was, where a VM may have one connection or a few to a leaf. A request that found no available connection at that moment waited although there was soon a place for a new one.

An idle connection past its usableUntil was offered as available, closed when a request was sent, and still counted towards the limit until its reading goroutine had ended, which wakes no waiting request. The same count fell while a surplus connection expired. An idle connection is now removed from the count at the moment at which it is taken out of the idle ones to be closed. The number of available connections no longer changes between then and its end, so that no wake-up is needed, and the separate rule for a request that may not use a connection again is gone. The leaf may see the new connection before the end of the old one, as it did with that rule.

The tests of internal/modules/leafpool pass in 3 of 3 runs with -race.

--- a/internal/modules/leafpool/conn.go
+++ b/internal/modules/leafpool/conn.go
@@ -91,6 +91,8 @@
 	// usableUntil is the time from which the idle connection is not used again: idleMargin before the leaf may close it, or
 	// surplusIdleTimeout after its last use if the leaf is not preferred. It is zero when neither applies.
 	usableUntil time.Time
+	// discounted reports whether the pool counts the connection no more. It is guarded by the module's lock.
+	discounted bool
 	// writing is held while a request of at most maxInlineBytes is written. The reply to it can be read, and the connection can fail,
 	// before the write has returned.
 	writing sync.Mutex
--- a/internal/modules/leafpool/leafpool_test.go
+++ b/internal/modules/leafpool/leafpool_test.go
@@ -554,3 +554,58 @@
 		}
 	}
 }
+
+// Guards against a request that is told that all connections to a leaf are busy, although none is: the only one is idle and too old to
+// be used, and the number of available connections includes it.
+func TestIdleConnectionThatIsTooOldIsReplaced(t *testing.T) {
+	l, _ := startLeaf(t, echo)
+	m := newModule(t, l, 1)
+	results, _ := send(m, l, "a")
+	require.NoError(t, (<-results).Err)
+	require.Eventually(t, func() bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		idle := m.pools[l.Key()].idle
+		if len(idle) == 0 {
+			return false
+		}
+		idle[0].usableUntil = time.Now().Add(-time.Millisecond)
+		return true
+	}, 5*time.Second, time.Millisecond)
+	require.Equal(t, 1, m.AvailableConnections(l))
+	results, _ = send(m, l, "b")
+	require.NoError(t, (<-results).Err)
+}
+
+// Guards against a request that waits beside a place for a new connection, because connections that were too old are still being
+// closed.
+func TestIdleConnectionsThatAreBeingClosedTakeNoPlace(t *testing.T) {
+	l, _ := startLeaf(t, echo)
+	m := newModule(t, l, 3) // The VMs use 0.6 of the connections, which is two.
+	p := m.poolOf(l)
+	idle := func() (c *conn) {
+		near, far := net.Pipe() // Nothing reads from the connection, so that its end is noticed only when the test says so.
+		t.Cleanup(func() { _ = far.Close() })
+		c = newConn(p, near)
+		c.usableUntil = time.Now().Add(-time.Millisecond)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		p.open, p.idle = p.open+1, append(p.idle, c)
+		return c
+	}
+	old := []*conn{idle(), idle()}
+	require.Equal(t, 2, m.AvailableConnections(l))
+	p.expire(old[0])
+	require.Equal(t, 2, m.AvailableConnections(l))
+	first, _ := send(m, l, "a")
+	require.NoError(t, (<-first).Err)
+	require.Equal(t, 2, m.AvailableConnections(l))
+	for _, c := range old {
+		p.closed(c)
+	}
+	require.Equal(t, 2, m.AvailableConnections(l))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	require.Equal(t, 1, p.open)
+	require.Len(t, p.idle, 1)
+}
--- a/internal/modules/leafpool/module.go
+++ b/internal/modules/leafpool/module.go
@@ -226,11 +226,10 @@
 	m.requestedAt[l.Service] = now
 	refused := p.refuses(now)
 	var c *conn
-	replaced := false
 	if !refused {
-		c, replaced = p.takeIdle(now, req)
+		c = p.takeIdle(now, req)
 	}
-	full := c == nil && !replaced && p.open-p.preconnecting >= limit
+	full := c == nil && p.open-p.preconnecting >= limit
 	if c == nil && !full && !refused {
 		p.open++
 	}
--- a/internal/modules/leafpool/pool.go
+++ b/internal/modules/leafpool/pool.go
@@ -37,21 +37,29 @@
 
 // takeIdle removes and returns an idle connection that the leaf is expected to keep open long enough, or returns nil. It
 // closes the other ones that it finds. A request that may run only once does not use a connection on which it was sent before: a
-// second copy of the reply that it has not run would state the same of this attempt. replaced reports whether a connection was
-// closed for this reason. The caller holds the lock.
-func (p *pool) takeIdle(now time.Time, req *forward.LeafRequest) (taken *conn, replaced bool) {
+// second copy of the reply that it has not run would state the same of this attempt. The caller holds the lock.
+func (p *pool) takeIdle(now time.Time, req *forward.LeafRequest) *conn {
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
 		sentBefore := !req.Repeatable && c.lastID == req.ID
 		if !sentBefore && (c.usableUntil.IsZero() || now.Before(c.usableUntil)) {
-			return c, replaced
+			return c
 		}
-		replaced = replaced || sentBefore
-		// The reading goroutine removes the connection from the count once it is closed.
+		p.uncount(c)
 		go c.net.Close()
 	}
-	return nil, replaced
+	return nil
+}
+
+// uncount removes a connection that is about to be closed, or has ended, from the count. An idle connection has to be removed at the
+// moment at which it stops being idle: requests that find no available connection meanwhile would wait, and its end wakes none. The
+// caller holds the lock.
+func (p *pool) uncount(c *conn) {
+	if !c.discounted {
+		c.discounted = true
+		p.open--
+	}
 }
 
 // retire removes and returns the idle connections, and lets the others be closed once they are idle. The caller holds the
@@ -130,9 +138,12 @@
 	m := p.module
 	m.mu.Lock()
 	expired := !m.now().Before(c.usableUntil) && p.removeIdle(c)
+	if expired {
+		p.uncount(c)
+	}
 	m.mu.Unlock()
 	if expired {
-		_ = c.net.Close() // The reading goroutine removes it from the count.
+		_ = c.net.Close() // The reading goroutine ends.
 	}
 }
 
@@ -140,7 +151,11 @@
 func (p *pool) closed(c *conn) {
 	p.module.mu.Lock()
 	defer p.module.mu.Unlock()
-	p.open--
+	if c == nil {
+		p.open--
+	} else {
+		p.uncount(c)
+	}
 	if c == nil || !c.wasUsed() {
 		p.unreachableUntil = p.module.now().Add(preconnectRetry)
 	}
