Count connections in advance against no place while they become idle

A request that found no available connection to a leaf waited although there was a place for one: at that moment a connection that had been opened in advance was about to become idle, or had just failed to open.

Connections that are being opened in advance are counted apart, since requests do not wait for them. That count was lowered in a step of its own, so that the connection took a place until it became idle or its failure was counted, and neither wakes a waiting request. Both now happen under one hold of the lock.

--- a/internal/modules/leafpool/conn.go
+++ b/internal/modules/leafpool/conn.go
@@ -93,6 +93,9 @@
 	usableUntil time.Time
 	// discounted reports whether the pool counts the connection no more. It is guarded by the module's lock.
 	discounted bool
+	// inAdvance reports whether the connection was opened in advance and is not idle yet, so that the pool counts it among those that are
+	// being opened in advance. It is guarded by the module's lock.
+	inAdvance bool
 	// writing is held while a request of at most maxInlineBytes is written. The reply to it can be read, and the connection can fail,
 	// before the write has returned.
 	writing sync.Mutex
--- a/internal/modules/leafpool/leafpool_test.go
+++ b/internal/modules/leafpool/leafpool_test.go
@@ -609,3 +609,41 @@
 	require.Equal(t, 1, p.open)
 	require.Len(t, p.idle, 1)
 }
+
+// Guards against a request that waits beside a place for a new connection, because one that was opened in advance took it for a moment
+// before it became idle or after it could not be opened.
+func TestConnectionInAdvanceNeverTakesAPlace(t *testing.T) {
+	reachable, _ := startLeaf(t, echo)
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	unreachable := &leaves.Member{Leaf: leaves.Leaf{ID: "i", Service: "s", Address: closed.Addr().String()}}
+	require.NoError(t, closed.Close())
+	for _, l := range []*leaves.Member{reachable, unreachable} {
+		for range 100 {
+			m := newModule(t, l, 1)
+			stop, least := make(chan struct{}), make(chan int)
+			go func() {
+				n := 1
+				for {
+					select {
+					case <-stop:
+						least <- n
+						return
+					default:
+						n = min(n, m.AvailableConnections(l))
+					}
+				}
+			}()
+			go m.preconnectTo(l)
+			require.Eventually(t, func() bool {
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				p := m.pools[l.Key()]
+				return p != nil && (len(p.idle) > 0 || !p.unreachableUntil.IsZero())
+			}, 5*time.Second, 200*time.Microsecond)
+			close(stop)
+			require.Equal(t, 1, <-least)
+			require.NoError(t, m.Stop(context.Background()))
+		}
+	}
+}
--- a/internal/modules/leafpool/pool.go
+++ b/internal/modules/leafpool/pool.go
@@ -59,6 +59,15 @@
 	if !c.discounted {
 		c.discounted = true
 		p.open--
+		p.endAdvance(c)
+	}
+}
+
+// endAdvance removes a connection from those that are being opened in advance. The caller holds the lock.
+func (p *pool) endAdvance(c *conn) {
+	if c.inAdvance {
+		c.inAdvance = false
+		p.preconnecting--
 	}
 }
 
@@ -108,6 +117,7 @@
 		return false
 	}
 	p.idle, p.connected = append(p.idle, c), true
+	p.endAdvance(c)
 	if p.surplus() {
 		if end := p.module.now().Add(surplusIdleTimeout); c.usableUntil.IsZero() || end.Before(c.usableUntil) {
 			c.usableUntil = end
@@ -151,6 +161,11 @@
 func (p *pool) closed(c *conn) {
 	p.module.mu.Lock()
 	defer p.module.mu.Unlock()
+	p.removeClosed(c)
+}
+
+// removeClosed is closed for a caller that holds the lock.
+func (p *pool) removeClosed(c *conn) {
 	if c == nil {
 		p.open--
 	} else {
--- a/internal/modules/leafpool/preconnect.go
+++ b/internal/modules/leafpool/preconnect.go
@@ -147,12 +147,14 @@
 	p.preconnecting++
 	m.mu.Unlock()
 	n, err := m.connect(m.runCtx, l)
-	m.mu.Lock()
-	p.preconnecting--
-	m.mu.Unlock()
 	if err != nil {
-		p.closed(nil)
+		m.mu.Lock()
+		p.preconnecting--
+		p.removeClosed(nil)
+		m.mu.Unlock()
 		return
 	}
-	p.keepIdle(newConn(p, n)) // Requests may have opened as many connections as the limit allows.
+	c := newConn(p, n)
+	c.inAdvance = true
+	p.keepIdle(c) // Requests may have opened as many connections as the limit allows.
 }
