Let waiting requests learn of a pause that begins

Requests waited for a busy leaf until they were refused or timed out although the leaf took requests again, if it had asked for a pause while they waited.

The reply that asks for the pause woke one waiting request, the only one that then knew when the pause ends. The others had no reason to step at that time, and the one sent to the leaf wakes the next only once its attempt ends. A reply with which a leaf begins to refuse requests now lets all waiting requests of its service step once, so that they wait for the end of the pause or give up. Further replies during the pause wake one request as before; a pause that is prolonged is noticed at its first end.

--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -257,6 +257,8 @@
 	Paused time.Duration
 	// Leaving reports whether this is the first reply in which the leaf states that it is leaving.
 	Leaving bool
+	// Refuses reports whether the leaf has taken requests of this VM before and does not any more: it is leaving or paused.
+	Refuses bool
 }
 
 // AttemptEnded records the result of an attempt that was started at the given time. A cancelled attempt does not count for or
@@ -279,9 +281,11 @@
 		s.unansweredAt = started
 	}
 	if r != nil && r.Leaving && !r.WrongLeaf {
+		v.Refuses = !s.refuses(now)
 		v.Leaving, s.leaving = !s.leaving, true
 	}
 	if r != nil && !r.WrongLeaf && r.Pause() > 0 {
+		v.Refuses = v.Refuses || !s.refuses(now)
 		v.Paused = r.Pause()
 		s.pausedUntil = later(s.pausedUntil, now.Add(v.Paused))
 		return v
--- a/internal/modules/forwarder/runner.go
+++ b/internal/modules/forwarder/runner.go
@@ -170,7 +170,12 @@
 	}
 	verdict := m.tracker.AttemptEnded(m.now(), r.route.Name, a.leaf, a.startedAt, &result, cancelled)
 	m.startReports()
-	m.waiters.wake(a.leaf.Service)
+	if verdict.Refuses {
+		// Requests that wait for this leaf now wait for the end of its pause, or have to give up.
+		m.waiters.wakeService(a.leaf.Service)
+	} else {
+		m.waiters.wake(a.leaf.Service)
+	}
 	m.mu.Unlock()
 	if verdict.Leaving {
 		m.reporter.MarkLeaving(a.leaf.Key())
@@ -225,7 +230,6 @@
 // updateQueues enters the request into the queues of the services whose leaves have no available connection, and
 // removes it from all others. It passes on the wake-ups for which the step has sent nothing.
 func (r *runner) updateQueues(now time.Time, sends []forward.Send) {
-	defer func() { r.woken = r.woken[:0] }()
 	services := r.state.Waiting()
 	if slices.Equal(services, r.waiting) && len(r.woken) == 0 {
 		return
@@ -244,7 +248,7 @@
 	left, entered := without(r.waiting, services), without(services, r.waiting)
 	r.leave(now, left)
 	m.waiters.add(entered, r)
-	r.waiting = services
+	r.waiting, r.woken = services, nil
 	if len(entered) > 0 {
 		// A connection may have become available since the step, and has woken another request or none.
 		r.wake()
--- a/internal/modules/forwarder/waiters.go
+++ b/internal/modules/forwarder/waiters.go
@@ -52,11 +52,16 @@
 	}
 }
 
+// wakeService lets all waiting requests of a service try again.
+func (w waiters) wakeService(service model.ServiceName) {
+	for _, r := range w[service] {
+		r.wake()
+	}
+}
+
 // wakeAll lets all waiting requests try again.
 func (w waiters) wakeAll() {
-	for _, list := range w {
-		for _, r := range list {
-			r.wake()
-		}
+	for service := range w {
+		w.wakeService(service)
 	}
 }
--- a/internal/modules/forwarder/waiters_test.go
+++ b/internal/modules/forwarder/waiters_test.go
@@ -286,3 +286,73 @@
 		require.Fail(t, "the request still waits")
 	}
 }
+
+// pausingTransport has no available connection to the leaf b-2. The leaf b turns its first request away and asks for a pause, after
+// which it accepts two more. No other attempt gets a reply.
+type pausingTransport struct {
+	partitionTransport
+	mu    sync.Mutex
+	sent  []string
+	reply func(forward.AttemptResult)
+}
+
+func (x *pausingTransport) AvailableConnections(l *leaves.Member) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	switch {
+	case l.ID == "b-2", l.ID == "b" && (x.reply != nil || len(x.sent) == 3):
+		return 0
+	}
+	return 1
+}
+
+func (x *pausingTransport) Send(l *leaves.Member, req *forward.LeafRequest, done func(forward.AttemptResult)) kernel.LeafAttempt {
+	if l.ID == "b" {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		if x.sent = append(x.sent, req.ID); len(x.sent) == 1 {
+			x.reply = done
+		}
+	}
+	return sentAttempt(func() {})
+}
+
+// Guards against a request that waits until it is refused or times out although a leaf takes requests again, because the leaf asked
+// for the pause while the request waited for a connection to it.
+func TestWaitingRequestsNoticeTheEndOfAPauseThatBeginsMeanwhile(t *testing.T) {
+	const pause = 200 * time.Millisecond
+	m, _ := newPartitionModule(t)
+	x := &pausingTransport{}
+	m.transport = x
+	view := m.control.View()
+	second := *view.Leaves.Services["b"][0]
+	second.ID = "b-2"
+	view.Leaves.Services["b"] = append(view.Leaves.Services["b"], &second)
+	route := view.Routes.Match("h", "/")
+	route.Timeout, route.Objective = time.Minute, 40*time.Second
+	for i, id := range []string{"turned away", "next", "last"} {
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		// The request is old enough not to be woken to check for unresponsive zones.
+		go m.Forward(ctx, &forward.Request{ID: id, Host: "h", Path: "/", Received: time.Now().Add(-zoneCheckEnd), Deadline: time.Now().Add(time.Minute)})
+		require.Eventually(t, func() bool {
+			m.mu.Lock() // The tracker asks for available connections while it is held.
+			defer m.mu.Unlock()
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			return len(x.sent) == 1 && len(m.waiters["b"]) == i
+		}, 3*time.Second, time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond)
+	x.mu.Lock()
+	reply := x.reply
+	x.reply = nil
+	x.mu.Unlock()
+	reply(forward.AttemptResult{Reply: &forward.LeafReply{Status: 503, NotRun: true, RetryAfter: pause}, Sent: true, Latency: time.Millisecond})
+	require.Eventually(t, func() bool {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		return len(x.sent) == 3
+	}, 3*time.Second, time.Millisecond, "a request still waits")
+	require.ElementsMatch(t, []string{"turned away", "next", "last"}, x.sent)
+}
