Ignore what a wrong leaf states about itself

After a reply of a wrong leaf (421) that also stated that it was leaving, requests for the addressed leaf waited for a connection until they were refused or timed out, and nothing woke them.

The pool took the statement for one of the addressed leaf and offered no connection to it until the leaf was listed anew, while the tracker, which ignores it, went on to count the leaf among those that take requests. The pool ignores it now as well. The ejection of the leaf for a wrong reply is unchanged.

--- a/internal/modules/leafpool/leafpool_test.go
+++ b/internal/modules/leafpool/leafpool_test.go
@@ -647,3 +647,27 @@
 		}
 	}
 }
+
+// misdirectedProtocol is lineProtocol with replies that another leaf, which is leaving, has sent.
+type misdirectedProtocol struct{ lineProtocol }
+
+func (p misdirectedProtocol) ReadReply(r *bufio.Reader, req *forward.LeafRequest) (*forward.LeafReply, bool, error) {
+	reply, reusable, err := p.lineProtocol.ReadReply(r, req)
+	if err == nil {
+		reply.Status, reply.WrongLeaf, reply.NotRun, reply.Leaving = 421, true, true, true
+	}
+	return reply, reusable, err
+}
+
+// Guards against requests that wait for a leaf that takes requests, because another leaf that had its address for a while has replied
+// that it is leaving.
+func TestReplyOfAnotherLeafDoesNotRetireThePool(t *testing.T) {
+	l, _ := startLeaf(t, echo)
+	m := newModule(t, l, 1)
+	m.protocol = misdirectedProtocol{}
+	results, _ := send(m, l, "a")
+	require.NoError(t, (<-results).Err)
+	require.Equal(t, 1, m.AvailableConnections(l))
+	results, _ = send(m, l, "b")
+	require.NoError(t, (<-results).Err)
+}
--- a/internal/modules/leafpool/pool.go
+++ b/internal/modules/leafpool/pool.go
@@ -79,10 +79,10 @@
 	return idle
 }
 
-// observe applies what a reply states about its leaf.
+// observe applies what a reply states about its leaf. That of another leaf states nothing about it.
 func (p *pool) observe(reply *forward.LeafReply) {
 	pause := reply.Pause()
-	if !reply.Leaving && pause == 0 {
+	if reply.WrongLeaf || !reply.Leaving && pause == 0 {
 		return
 	}
 	m := p.module
