--- a/internal/modules/leafpool/leafpool_test.go
+++ b/internal/modules/leafpool/leafpool_test.go
@@ -611,3 +611,120 @@
 		require.EqualValues(t, 2, count.Load())
 	}
 }
+
+// Guards against a request that is told that all connections to a leaf are busy, although none is: the only one is idle and too old to
+// be used, and the number of available connections includes it.
+func TestIdleConnectionThatIsTooOldIsReplaced(t *testing.T) {
+	l, _ := startLeaf(t, echo)
+	m := newModule(t, l, 1)
+	results, _ := send(m, l, "a")
+	require.NoError(t, (<-results).Err)
+	require.Eventually(t, func() bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		idle := m.pools[l.Key()].idle
+		if len(idle) == 0 {
+			return false
+		}
+		idle[0].usableUntil = time.Now().Add(-time.Millisecond)
+		return true
+	}, 5*time.Second, time.Millisecond)
+	require.Equal(t, 1, m.AvailableConnections(l))
+	results, _ = send(m, l, "b")
+	require.NoError(t, (<-results).Err)
+}
+
+// Guards against a request that waits beside a place for a new connection, because connections that were too old are still being
+// closed.
+func TestIdleConnectionsThatAreBeingClosedTakeNoPlace(t *testing.T) {
+	l, _ := startLeaf(t, echo)
+	m := newModule(t, l, 3) // The VMs use 0.6 of the connections, which is two.
+	p := m.poolOf(l)
+	idle := func() (c *conn) {
+		near, far := net.Pipe() // Nothing reads from the connection, so that its end is noticed only when the test says so.
+		t.Cleanup(func() { _ = far.Close() })
+		c = newConn(p, near)
+		c.usableUntil = time.Now().Add(-time.Millisecond)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		p.open, p.idle = p.open+1, append(p.idle, c)
+		return c
+	}
+	old := []*conn{idle(), idle()}
+	require.Equal(t, 2, m.AvailableConnections(l))
+	p.expire(old[0])
+	require.Equal(t, 2, m.AvailableConnections(l))
+	first, _ := send(m, l, "a")
+	require.NoError(t, (<-first).Err)
+	require.Equal(t, 2, m.AvailableConnections(l))
+	for _, c := range old {
+		p.closed(c)
+	}
+	require.Equal(t, 2, m.AvailableConnections(l))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	require.Equal(t, 1, p.open)
+	require.Len(t, p.idle, 1)
+}
+
+// Guards against a request that waits beside a place for a new connection, because one that was opened in advance took it for a moment
+// before it became idle or after it could not be opened.
+func TestConnectionInAdvanceNeverTakesAPlace(t *testing.T) {
+	reachable, _ := startLeaf(t, echo)
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	unreachable := &leaves.Member{Leaf: leaves.Leaf{ID: "i", Service: "s", Address: closed.Addr().String()}}
+	require.NoError(t, closed.Close())
+	for _, l := range []*leaves.Member{reachable, unreachable} {
+		for range 100 {
+			m := newModule(t, l, 1)
+			stop, least := make(chan struct{}), make(chan int)
+			go func() {
+				n := 1
+				for {
+					select {
+					case <-stop:
+						least <- n
+						return
+					default:
+						n = min(n, m.AvailableConnections(l))
+					}
+				}
+			}()
+			go m.preconnectTo(l)
+			require.Eventually(t, func() bool {
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				p := m.pools[l.Key()]
+				return p != nil && (len(p.idle) > 0 || !p.unreachableUntil.IsZero())
+			}, 5*time.Second, 200*time.Microsecond)
+			close(stop)
+			require.Equal(t, 1, <-least)
+			require.NoError(t, m.Stop(context.Background()))
+		}
+	}
+}
+
+// misdirectedProtocol is lineProtocol with replies that another leaf, which is leaving, has sent.
+type misdirectedProtocol struct{ lineProtocol }
+
+func (p misdirectedProtocol) ReadReply(r *bufio.Reader, req *forward.LeafRequest) (*forward.LeafReply, bool, error) {
+	reply, reusable, err := p.lineProtocol.ReadReply(r, req)
+	if err == nil {
+		reply.Status, reply.WrongLeaf, reply.NotRun, reply.Leaving = 421, true, true, true
+	}
+	return reply, reusable, err
+}
+
+// Guards against requests that wait for a leaf that takes requests, because another leaf that had its address for a while has replied
+// that it is leaving.
+func TestReplyOfAnotherLeafDoesNotRetireThePool(t *testing.T) {
+	l, _ := startLeaf(t, echo)
+	m := newModule(t, l, 1)
+	m.protocol = misdirectedProtocol{}
+	results, _ := send(m, l, "a")
+	require.NoError(t, (<-results).Err)
+	require.Equal(t, 1, m.AvailableConnections(l))
+	results, _ = send(m, l, "b")
+	require.NoError(t, (<-results).Err)
+}
