--- a/internal/forward/pause_test.go
+++ b/internal/forward/pause_test.go
@@ -22,7 +22,7 @@
 	first := at(x.now)
 	x.tracker.AttemptStarted(first, "r", x.list[0])
 	verdict := x.tracker.AttemptEnded(first, "r", x.list[0], first, ptr(pauseFor(3*time.Second)), false)
-	require.Equal(t, Verdict{Paused: 3 * time.Second}, verdict)
+	require.Equal(t, Verdict{Paused: 3 * time.Second, Refuses: true}, verdict)
 	for range ejectAfter {
 		x.tracker.AttemptStarted(first, "r", x.list[1])
 		x.tracker.AttemptEnded(first, "r", x.list[1], first, &lostConnection, false)
@@ -108,6 +108,76 @@
 	require.Equal(t, "a2", sends[0].Leaf.ID)
 }
 
+// Guards against a request that waits for a busy leaf and misses the end of the pause of another one, and against one that is evaluated
+// again and again after it.
+func TestRequestThatWaitsForABusyLeafNoticesTheEndOfAPause(t *testing.T) {
+	e := newEnv("a")
+	e.full["a1"] = true
+	e.paused = map[string]time.Time{"a2": at(80), "a3": at(60)}
+	r := newRun(singleRoute(true), e)
+	sends, response, wake := r.Step(start)
+	require.Empty(t, sends)
+	require.Nil(t, response)
+	require.Equal(t, at(60), wake)
+	e.full["a3"] = true
+	_, _, wake = r.Step(wake)
+	require.Equal(t, at(80), wake)
+	e.full["a2"] = true
+	_, _, wake = r.Step(wake)
+	require.Equal(t, at(100), wake, "the request is refused")
+	e.full["a2"] = false
+	sends, _, _ = r.Step(at(90))
+	require.Equal(t, "a2", sends[0].Leaf.ID)
+
+	scatter := newEnv("a", "b", "c", "d")
+	scatter.full["a1"], scatter.full["a2"], scatter.full["a3"] = true, true, true
+	scatter.paused = map[string]time.Time{"a3": at(988)}
+	r = newRun(scatterRoute(1), scatter)
+	r.Step(start)
+	_, _, wake = r.Step(at(987))
+	require.Equal(t, at(988), wake)
+	now := r.deadline.Add(-minTimeLeft / 2)
+	_, response, wake = r.Step(now)
+	require.True(t, response != nil || wake.After(now), "the time of the next step is past")
+}
+
+// The first of the pauses of leaves that were not tried counts, and none of a leaf that is leaving. Guards against a request that is
+// woken for a leaf that it cannot use.
+func TestPauseEndIsThatOfALeafThatCanBeUsed(t *testing.T) {
+	x := NewTracker(TrackerOptions{Zone: "z"}, testRandom())
+	list := members(4)
+	require.Zero(t, x.PauseEnd(start, list, nil))
+	for i, d := range []time.Duration{2 * time.Second, time.Second, 3 * time.Second} {
+		result := pauseFor(d)
+		result.Reply.Leaving = i == 1
+		x.AttemptStarted(start, "r", list[i])
+		x.AttemptEnded(start, "r", list[i], start, &result, false)
+	}
+	require.Equal(t, start.Add(2*time.Second), x.PauseEnd(start, list, nil))
+	require.Equal(t, start.Add(3*time.Second), x.PauseEnd(start, list, list[:1]))
+	require.Equal(t, start.Add(3*time.Second), x.PauseEnd(start.Add(2*time.Second), list, nil))
+	require.Zero(t, x.PauseEnd(start.Add(3*time.Second), list, nil))
+}
+
+// Guards against waiting requests that are all woken by each reply of a leaf that refuses requests already.
+func TestLeafBeginsToRefuseOnce(t *testing.T) {
+	x := NewTracker(TrackerOptions{Zone: "z"}, testRandom())
+	m := members(1)[0]
+	leaving := pauseFor(time.Second)
+	leaving.Reply.Leaving = true
+	for _, step := range []struct {
+		at     int
+		result AttemptResult
+		begins bool
+	}{{0, successWith(""), false}, {1, pauseFor(time.Second), true}, {2, pauseFor(2 * time.Second), false}, {2002, pauseFor(time.Second), true}, {2003, leaving, false}, {9000, leaving, false}} {
+		x.AttemptStarted(at(step.at), "r", m)
+		require.Equal(t, step.begins, x.AttemptEnded(at(step.at), "r", m, at(step.at), &step.result, false).Refuses, step.at)
+	}
+	x = NewTracker(TrackerOptions{Zone: "z"}, testRandom())
+	x.AttemptStarted(start, "r", m)
+	require.True(t, x.AttemptEnded(start, "r", m, start, &leaving, false).Refuses)
+}
+
 // Guards against a request that a leaf has turned away and that is not sent to another one, and against a refusal that invites the
 // caller back before a leaf takes requests again.
 func TestTurnedAwayRequestGoesToAnotherLeaf(t *testing.T) {
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -188,6 +188,13 @@
 	return best
 }
 
+// HasAvailable reports whether Choose returns a leaf of the list for an attempt that was sent to none of them.
+func (t *Tracker) HasAvailable(now time.Time, list []*leaves.Member, connections Connections) bool {
+	return slices.ContainsFunc(list, func(m *leaves.Member) bool {
+		return !t.Refuses(now, m) && connections.AvailableConnections(m) > 0
+	})
+}
+
 // cost returns the expected latency of a leaf, weighted with its failures, in units of the typical latency of the route.
 // badRate is the rate of bad attempts at the leaf across all entry VMs, if it is an outlier.
 func (t *Tracker) cost(now time.Time, m *leaves.Member, s *leafStats, typical time.Duration, badRate float64) float64 {
@@ -250,6 +257,8 @@
 	Paused time.Duration
 	// Leaving reports whether this is the first reply in which the leaf states that it is leaving.
 	Leaving bool
+	// Refuses reports whether the leaf has taken requests of this VM before and does not any more: it is leaving or paused.
+	Refuses bool
 }
 
 // AttemptEnded records the result of an attempt that was started at the given time. A cancelled attempt does not count for or
@@ -272,9 +281,11 @@
 		s.unansweredAt = started
 	}
 	if r != nil && r.Leaving && !r.WrongLeaf {
+		v.Refuses = !s.refuses(now)
 		v.Leaving, s.leaving = !s.leaving, true
 	}
 	if r != nil && !r.WrongLeaf && r.Pause() > 0 {
+		v.Refuses = v.Refuses || !s.refuses(now)
 		v.Paused = r.Pause()
 		s.pausedUntil = later(s.pausedUntil, now.Add(v.Paused))
 		return v
@@ -332,6 +343,21 @@
 	return first
 }
 
+// PauseEnd returns when the first of the listed leaves that were not tried and have asked for a pause may be sent requests again. It is
+// zero when none has.
+func (t *Tracker) PauseEnd(now time.Time, list, tried []*leaves.Member) (first time.Time) {
+	for _, m := range list {
+		s := t.leaves[m.Key()]
+		if s == nil || s.leaving || !s.refuses(now) || slices.ContainsFunc(tried, func(x *leaves.Member) bool { return x.ID == m.ID }) {
+			continue
+		}
+		if first.IsZero() || s.pausedUntil.Before(first) {
+			first = s.pausedUntil
+		}
+	}
+	return first
+}
+
 // unresponsiveAfter returns the age from which an unanswered attempt on the route means that its leaf is unresponsive.
 func (t *Tracker) unresponsiveAfter(route string) time.Duration {
 	return max(minUnresponsiveTime, stallFactor*t.typicalLatency(route))
--- a/internal/modules/leafpool/pool.go
+++ b/internal/modules/leafpool/pool.go
@@ -37,8 +37,8 @@
 
 // takeIdle removes and returns an idle connection that the leaf is expected to keep open long enough, or returns nil. It
 // closes those that it finds and that the leaf is not. It skips those on which a second copy of the last reply could be taken for the
-// reply to the request. replaced reports whether one was closed because all were of this kind. The caller holds the lock.
-func (p *pool) takeIdle(now time.Time, req *forward.LeafRequest) (taken *conn, replaced bool) {
+// reply to the request, and closes one of them if there are no others, which leaves a place for a new one. The caller holds the lock.
+func (p *pool) takeIdle(now time.Time, req *forward.LeafRequest) *conn {
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		c := p.idle[i]
 		usable := c.usableUntil.IsZero() || now.Before(c.usableUntil)
@@ -47,17 +47,37 @@
 		}
 		p.idle = slices.Delete(p.idle, i, i+1)
 		if usable {
-			return c, false
+			return c
 		}
-		// The reading goroutine removes the connection from the count once it is closed.
+		p.uncount(c)
 		go c.net.Close()
 	}
 	if n := len(p.idle); n > 0 {
-		go p.idle[n-1].net.Close() // As above.
+		c := p.idle[n-1]
 		p.idle = p.idle[:n-1]
-		return nil, true
+		p.uncount(c)
+		go c.net.Close()
+	}
+	return nil
+}
+
+// uncount removes a connection that is about to be closed, or has ended, from the count. An idle connection has to be removed at the
+// moment at which it stops being idle: requests that find no available connection meanwhile would wait, and its end wakes none. The
+// caller holds the lock.
+func (p *pool) uncount(c *conn) {
+	if !c.discounted {
+		c.discounted = true
+		p.open--
+		p.endAdvance(c)
+	}
+}
+
+// endAdvance removes a connection from those that are being opened in advance. The caller holds the lock.
+func (p *pool) endAdvance(c *conn) {
+	if c.inAdvance {
+		c.inAdvance = false
+		p.preconnecting--
 	}
-	return nil, false
 }
 
 // retire removes and returns the idle connections, and lets the others be closed once they are idle. The caller holds the
@@ -68,10 +88,10 @@
 	return idle
 }
 
-// observe applies what a reply states about its leaf.
+// observe applies what a reply states about its leaf. That of another leaf states nothing about it.
 func (p *pool) observe(reply *forward.LeafReply) {
 	pause := reply.Pause()
-	if !reply.Leaving && pause == 0 {
+	if reply.WrongLeaf || !reply.Leaving && pause == 0 {
 		return
 	}
 	m := p.module
@@ -106,6 +126,7 @@
 		return false
 	}
 	p.idle, p.connected = append(p.idle, c), true
+	p.endAdvance(c)
 	if p.surplus() {
 		if end := p.module.now().Add(surplusIdleTimeout); c.usableUntil.IsZero() || end.Before(c.usableUntil) {
 			c.usableUntil = end
@@ -136,9 +157,12 @@
 	m := p.module
 	m.mu.Lock()
 	expired := !m.now().Before(c.usableUntil) && p.removeIdle(c)
+	if expired {
+		p.uncount(c)
+	}
 	m.mu.Unlock()
 	if expired {
-		_ = c.net.Close() // The reading goroutine removes it from the count.
+		_ = c.net.Close() // The reading goroutine ends.
 	}
 }
 
@@ -146,7 +170,16 @@
 func (p *pool) closed(c *conn) {
 	p.module.mu.Lock()
 	defer p.module.mu.Unlock()
-	p.open--
+	p.removeClosed(c)
+}
+
+// removeClosed is closed for a caller that holds the lock.
+func (p *pool) removeClosed(c *conn) {
+	if c == nil {
+		p.open--
+	} else {
+		p.uncount(c)
+	}
 	if c == nil || !c.wasUsed() {
 		p.unreachableUntil = p.module.now().Add(preconnectRetry)
 	}
