Find the end of chunked bodies by their chunk sizes

After a chunked body whose data contained what ends a body, and later an empty line, a connection was not closed by changed limits or by a drain, and at the end of a drain its caller lost the next request: the announcement of the close was left out because data was taken for another request, also for later requests on the connection. A pipelined request behind trailers was dropped. While a body was read in large pieces, a copy of each was kept.

The end of a chunked body was searched for as text. The connection now follows the size of each chunk and the trailers, in whatever pieces they are read, and keeps only what was read behind the body. Whether a connection was kept for its current request is now set anew for each.

TestDataOfChunksIsNoRequest, TestEndOfChunksInPieces and three new forms of TestRequestThatWasReadBeforeACloseIsAnswered pass.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -56,8 +56,9 @@
 	// recent holds the last bytes that were read.
 	recent recentBytes
 	input  input
-	// isKept is set if the last response would have announced the close of the connection, but another request was waiting.
-	isKept bool
+	// isKept is set if the response to the current request did not announce the close of the connection, as it should have, because
+	// another request was waiting. wasKept is that of the response before.
+	isKept, wasKept bool
 	// idleSince is when the connection was accepted or the last response ended. isNew is set until the first
 	// response has ended.
 	idleSince time.Time
@@ -223,30 +224,32 @@
 	return err
 }
 
-// beginRequest follows the start of a handler. A negative length of the body is not known.
+// beginRequest follows the start of a handler. A negative length states that the body consists of chunks.
 func (c *conn) beginRequest(endsByClose bool, bodyLength int64) {
 	c.setRequestState(requestHandling)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.endsByClose = endsByClose
+	c.wasKept, c.isKept = c.isKept, false
 	c.input.beginBody(bodyLength)
 }
 
-// keep decides whether the connection stays open after the current response, although it is to be closed, because the caller has
-// already sent another request. A caller may send each request before the answer to the last one, so beyond what net/http holds this is
-// so once in a row, unless always is set.
+// keep decides whether a connection that is to be closed stays open after the current response, because the caller has already sent
+// another request. Every request that net/http holds is answered. One that only the operating system has received is answered too, but
+// unless always is set not after another one for which the connection was kept: a caller that sends each request before the answer to the
+// last one would keep it open.
 func (c *conn) keep(always bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.isKept = c.input.holdsRequest() || (always || !c.isKept) && c.input.bodyEnded() && unreadBytes(c.Conn) > 0
+	c.isKept = c.input.holdsRequest() || (always || !c.wasKept) && c.input.bodyEnded() && unreadBytes(c.Conn) > 0
 	return c.isKept
 }
 
-// wasKept reports whether the connection has stayed open only for the request that begins now.
-func (c *conn) wasKept() bool {
+// wasKeptOpen reports whether the connection has stayed open only for the current request.
+func (c *conn) wasKeptOpen() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.isKept
+	return c.wasKept
 }
 
 func (c *conn) setRequestState(state requestState) {
--- a/internal/httpserver/generation.go
+++ b/internal/httpserver/generation.go
@@ -46,7 +46,7 @@
 	bodyTimeout := g.options.BodyTimeout
 	if endBy := g.parent.endBy.Load(); endBy != nil {
 		deadline := *endBy
-		if g.parent.isClosing() && c.wasKept() {
+		if g.parent.isClosing() && c.wasKeptOpen() {
 			deadline = time.Now() // The next request of this caller would have to wait behind this one, and then be dropped.
 		}
 		ctx, cancel := context.WithDeadlineCause(r.Context(), deadline, errShutdown)
--- a/internal/httpserver/input.go
+++ b/internal/httpserver/input.go
@@ -1,24 +1,25 @@
 package httpserver
 
-import "bytes"
+import (
+	"bytes"
+	"math"
+)
 
 // input follows the bytes that net/http has read from a connection, to know whether it holds another request behind the current one.
 type input struct {
 	header headerScan
-	// headerEnded is set once the whole header of the current request was read. isChunked is set if the length of its body is not known
-	// in advance, and bodyLeft is how many bytes of its body were not read otherwise.
-	headerEnded, isChunked bool
+	// headerEnded is set once the whole header of the current request was read.
+	headerEnded bool
+	// isChunked is set if the body consists of chunks, which chunks follows until chunksEnded. bodyLeft is how many bytes of another
+	// body were not read.
+	isChunked, chunksEnded bool
+	chunks                 chunkScan
 	bodyLeft               int64
-	// ahead holds what was read behind the header, and behind the body if its length is known.
-	ahead []byte
+	// behind holds what was read behind the request, and behind its header until its handler starts. It is no more than net/http
+	// holds in its buffer, and one byte with which it notices that the caller disconnects.
+	behind []byte
 }
 
-// maxAhead is how many bytes net/http can hold.
-const maxAhead = 4<<10 + 1
-
-// lastChunk ends the body of a chunked request without trailers.
-const lastChunk = "0\r\n\r\n"
-
 // add adds bytes that were read.
 func (in *input) add(p []byte) {
 	if !in.headerEnded {
@@ -28,56 +29,55 @@
 		}
 		in.headerEnded, p = true, p[end:]
 	}
-	body := min(in.bodyLeft, int64(len(p)))
-	in.bodyLeft -= body
-	if p = p[body:]; len(p) == 0 {
-		return
+	if p = in.skipBody(p); len(p) > 0 {
+		in.behind = append(in.behind, p...)
+	}
+}
+
+// skipBody takes the bytes of the body off the next bytes that were read.
+func (in *input) skipBody(p []byte) []byte {
+	if !in.isChunked {
+		n := min(in.bodyLeft, int64(len(p)))
+		in.bodyLeft -= n
+		return p[n:]
+	}
+	if in.chunksEnded {
+		return p
 	}
-	in.ahead = append(in.ahead, p...)
-	if extra := len(in.ahead) - maxAhead; extra > 0 {
-		in.ahead = append(in.ahead[:0], in.ahead[extra:]...)
+	end := in.chunks.end(p)
+	if end < 0 {
+		return nil
 	}
+	in.chunksEnded = true
+	return p[end:]
 }
 
-// beginBody follows the start of a handler. A negative length is not known.
+// beginBody follows the start of a handler. A negative length states that the body consists of chunks.
 func (in *input) beginBody(length int64) {
-	if in.isChunked = length < 0; in.isChunked {
-		return
-	}
-	n := min(length, int64(len(in.ahead)))
-	in.ahead, in.bodyLeft = in.ahead[n:], length-n
+	in.isChunked, in.bodyLeft = length < 0, max(length, 0)
+	in.behind = in.skipBody(in.behind)
 }
 
 // next follows the end of a response.
 func (in *input) next() {
-	held := in.behindBody()
+	behind := in.behind
 	*in = input{}
-	in.add(held)
-}
-
-// behindBody returns the bytes behind the current request. The data of a chunk may contain the bytes of a last chunk, so with a chunked
-// body the result may begin too early.
-func (in *input) behindBody() []byte {
-	if !in.isChunked {
-		return in.ahead
-	}
-	_, behind, _ := bytes.Cut(in.ahead, []byte(lastChunk))
-	return behind
+	in.add(behind)
 }
 
 // bodyEnded reports whether all of the current request was read.
 func (in *input) bodyEnded() bool {
 	if in.isChunked {
-		return bytes.Contains(in.ahead, []byte(lastChunk))
+		return in.chunksEnded
 	}
 	return in.bodyLeft == 0
 }
 
 // holdsRequest reports whether the whole header of another request was read.
 func (in *input) holdsRequest() bool {
-	held := bytes.TrimLeft(in.behindBody(), "\r\n")
+	behind := bytes.TrimLeft(in.behind, "\r\n")
 	var header headerScan
-	return len(held) > 0 && isTokenChar(held[0]) && header.end(held) >= 0
+	return in.bodyEnded() && len(behind) > 0 && isTokenChar(behind[0]) && header.end(behind) >= 0
 }
 
 // headerScan finds the end of a header in the pieces in which it is read. Empty lines before the header belong to it.
@@ -88,16 +88,12 @@
 // end returns the index in the next piece behind the header, or -1 if the header does not end there.
 func (h *headerScan) end(p []byte) int {
 	for at := 0; at < len(p); {
-		line := p[at:]
-		lineEnd := bytes.IndexByte(line, '\n')
-		if lineEnd >= 0 {
-			line = line[:lineEnd]
-		}
+		line, isWhole := nextLine(p[at:])
 		h.lineHasText = h.lineHasText || len(bytes.TrimRight(line, "\r")) > 0
-		if lineEnd < 0 {
+		if !isWhole {
 			return -1
 		}
-		at += lineEnd + 1
+		at += len(line) + 1
 		if h.hasText && !h.lineHasText {
 			return at
 		}
@@ -105,3 +101,58 @@
 	}
 	return -1
 }
+
+// chunkScan finds the end of a body that consists of chunks (RFC 9112, section 7.1) in the pieces in which it is read.
+type chunkScan struct {
+	// dataLeft is how many bytes of the current chunk, with its line end, were not read.
+	dataLeft int64
+	// size is that of the line that is being read, up to sizeEnded. lineHasText and inTrailers concern the lines behind the last chunk.
+	size                               int64
+	sizeEnded, lineHasText, inTrailers bool
+}
+
+// end returns the index in the next piece behind the body, or -1 if the body does not end there.
+func (s *chunkScan) end(p []byte) int {
+	for at := 0; at < len(p); {
+		if n := min(s.dataLeft, int64(len(p)-at)); n > 0 {
+			s.dataLeft -= n
+			at += int(n)
+			continue
+		}
+		line, isWhole := nextLine(p[at:])
+		s.addLine(line)
+		if !isWhole {
+			return -1
+		}
+		at += len(line) + 1
+		switch {
+		case s.inTrailers && !s.lineHasText:
+			return at
+		case s.inTrailers:
+		case s.size == 0:
+			s.inTrailers = true
+		default:
+			s.dataLeft = s.size + int64(len("\r\n"))
+		}
+		s.size, s.sizeEnded, s.lineHasText = 0, false, false
+	}
+	return -1
+}
+
+// addLine adds a piece of a line.
+func (s *chunkScan) addLine(piece []byte) {
+	s.lineHasText = s.lineHasText || len(bytes.TrimRight(piece, "\r")) > 0
+	for _, b := range piece {
+		digit := bytes.IndexByte([]byte("0123456789abcdef"), b|0x20)
+		if s.sizeEnded = s.sizeEnded || digit < 0 || s.size > math.MaxInt32<<8; s.sizeEnded {
+			return // net/http refuses larger sizes than a request may have.
+		}
+		s.size = s.size<<4 | int64(digit)
+	}
+}
+
+// nextLine returns the bytes up to the next line end, or all of them if there is none.
+func nextLine(p []byte) (line []byte, isWhole bool) {
+	line, _, isWhole = bytes.Cut(p, []byte("\n"))
+	return line, isWhole
+}
--- a/internal/httpserver/pipeline_test.go
+++ b/internal/httpserver/pipeline_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -127,10 +128,16 @@
 // because a stop or a change of the limits began while the first one was handled.
 func TestRequestThatWasReadBeforeACloseIsAnswered(t *testing.T) {
 	const (
-		get     = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
-		post    = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
-		chunked = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+		get      = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+		post     = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+		chunked  = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+		trailers = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4;a=b\r\nbody\r\n0;c\r\nX-T: 1\r\nX-U: 2\r\n\r\n"
+		// The data of these chunks contains what ends a body, and what begins and ends a header.
+		data      = "x0\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\ny"
+		confusing = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n22\r\n" + data + "\r\n0\r\n\r\n"
 	)
+	require.Len(t, data, 0x22)
+	large := "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4000\r\n" + strings.Repeat("0\r\n\r\nGET\r\n\r\n....", 0x4000/16) + "\r\n0\r\n\r\n"
 	for name, change := range map[string]func(*Server){
 		"drain":        func(s *Server) { drainWithin(s, long) },
 		"other limits": func(s *Server) { s.SetOptions(Options{IdleTimeout: long}) },
@@ -138,13 +145,16 @@
 	} {
 		// A second piece is sent after the first answer.
 		for form, pieces := range map[string][]string{
-			"GET":               {get + get + get},
-			"POST":              {post + post + post},
-			"chunked":           {chunked + chunked + chunked},
-			"mixed":             {chunked + get + post},
-			"empty lines":       {post + "\r\n" + post + "\n\n" + get},
-			"part of a request": {get + get + get + get[:20]},
-			"body later":        {get + post + post[:len(post)-4], "body"},
+			"GET":                  {get + get + get},
+			"POST":                 {post + post + post},
+			"chunked":              {chunked + chunked + chunked},
+			"mixed":                {chunked + get + post},
+			"trailers":             {trailers + trailers + get},
+			"chunks like requests": {confusing + confusing + confusing},
+			"larger than a buffer": {large + get + get},
+			"empty lines":          {post + "\r\n" + post + "\n\n" + get},
+			"part of a request":    {get + get + get + get[:20]},
+			"body later":           {get + post + post[:len(post)-4], "body"},
 		} {
 			for answer, reply := range map[string]http.HandlerFunc{
 				"written": replyNoContent, "implicit": func(http.ResponseWriter, *http.Request) {},
@@ -237,3 +247,41 @@
 		})
 	}
 }
+
+// Guards against connections that are not closed, or are closed with a request unanswered, because the data of an earlier chunked body was
+// taken for requests.
+func TestDataOfChunksIsNoRequest(t *testing.T) {
+	const body = "33\r\nx0\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\nbehind the request\r\n0\r\n\r\n"
+	s := start(t, readBody, patient)
+	c := dial(t, s)
+	for range 3 {
+		c.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%s", body)
+		c.readNoContent()
+		require.False(t, c.request().Close)
+	}
+	s.SetOptions(Options{IdleTimeout: long})
+	c.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%s", body)
+	res, err := http.ReadResponse(c.reader, nil)
+	require.NoError(t, err)
+	require.True(t, res.Close)
+	c.waitForClose()
+}
+
+// Guards against a body that ends elsewhere than net/http takes it to end, in whatever pieces it is read.
+func TestEndOfChunksInPieces(t *testing.T) {
+	for _, body := range []string{
+		"0\r\n\r\n", "00\r\n\r\n", "0;a=b\r\n\r\n", "4\r\nbody\r\n0\r\nX: y\r\n\r\n", "a\r\n0123456789\r\nA\r\n0\r\n\r\n01234\r\n0\r\n\r\n", "4 ; x\r\nbody\r\n000\r\n\r\n",
+	} {
+		for size := 1; size <= len(body); size++ {
+			var s chunkScan
+			all, end := []byte(body+"GET"), -1
+			at := 0
+			for ; at < len(all) && end < 0; at += size {
+				if n := s.end(all[at:min(at+size, len(all))]); n >= 0 {
+					end = at + n
+				}
+			}
+			require.Equal(t, len(body), end, "%q in pieces of %d", body, size)
+		}
+	}
+}
