Await the end of a connection to a leaf before the next one in its place

Where a leaf accepts no more connections than a VM may have, a connection that replaced an idle one was reset in part of the cases, also after its request had been sent, so that a request that may run only once got an unknown outcome.

The place is still free at once, so that no request waits for it, but if all places would be taken with the connections that are being closed, the next one is opened once the leaf has closed its side of them, or after 100 ms. Idle connections are closed by their writing side first, so that the reading goroutine notices the leaf's end. Names: closedLocked and isUncounted in place of removeClosed and discounted.

TestReplacedConnectionIsNotAwaitedForLong is new.

--- a/internal/modules/leafpool/conn.go
+++ b/internal/modules/leafpool/conn.go
@@ -91,8 +91,8 @@
 	// usableUntil is the time from which the idle connection is not used again: idleMargin before the leaf may close it, or
 	// surplusIdleTimeout after its last use if the leaf is not preferred. It is zero when neither applies.
 	usableUntil time.Time
-	// discounted reports whether the pool counts the connection no more. It is guarded by the module's lock.
-	discounted bool
+	// isUncounted reports whether the pool does not count the connection any more. It is guarded by the module's lock.
+	isUncounted bool
 	// inAdvance reports whether the connection was opened in advance and is not idle yet, so that the pool counts it among those that are
 	// being opened in advance. It is guarded by the module's lock.
 	inAdvance bool
@@ -171,6 +171,15 @@
 	}()
 }
 
+// closeGracefully closes the writing side of an idle connection. The reading goroutine closes the connection once the leaf has closed its
+// side, or closeTimeout has passed.
+func (c *conn) closeGracefully() {
+	half, ok := c.net.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil || c.net.SetReadDeadline(time.Now().Add(closeTimeout)) != nil {
+		_ = c.net.Close() // It may have ended already.
+	}
+}
+
 func (c *conn) write(data []byte) {
 	n, err := c.net.Write(data)
 	c.mu.Lock()
--- a/internal/modules/leafpool/leafpool_test.go
+++ b/internal/modules/leafpool/leafpool_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -728,3 +729,54 @@
 	results, _ = send(m, l, "b")
 	require.NoError(t, (<-results).Err)
 }
+
+// Guards against a request that is reset, possibly after it was sent, because its connection was opened before the leaf had closed the one
+// that it replaces, at a leaf that accepts no more.
+func TestReplacedConnectionIsClosedByTheLeafFirst(t *testing.T) {
+	var open, resets atomic.Int32
+	l, _ := startLeaf(t, func(c net.Conn, r *bufio.Reader) {
+		if open.Add(1) > 1 {
+			resets.Add(1)
+			_ = c.(*net.TCPConn).SetLinger(0) // The close resets the connection.
+		} else {
+			echo(c, r)
+			time.Sleep(time.Millisecond)
+		}
+		open.Add(-1)
+	})
+	m := newModule(t, l, 1)
+	for i := range 300 {
+		results, _ := send(m, l, fmt.Sprint(i))
+		require.NoError(t, (<-results).Err)
+		require.Eventually(t, func() bool {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			idle := m.pools[l.Key()].idle
+			if len(idle) == 1 {
+				idle[0].usableUntil = time.Now().Add(-time.Millisecond)
+			}
+			return len(idle) == 1
+		}, 5*time.Second, 50*time.Microsecond)
+	}
+	require.Zero(t, resets.Load())
+}
+
+// Guards against a request that waits for a leaf that does not close its side of a connection that it replaces.
+func TestReplacedConnectionIsNotAwaitedForLong(t *testing.T) {
+	hold := make(chan struct{})
+	defer close(hold)
+	l, _ := startLeaf(t, func(c net.Conn, r *bufio.Reader) {
+		echo(c, r)
+		<-hold
+	})
+	m := newModule(t, l, 1)
+	results, _ := send(m, l, "a")
+	require.NoError(t, (<-results).Err)
+	m.mu.Lock()
+	m.pools[l.Key()].idle[0].usableUntil = time.Now().Add(-time.Millisecond)
+	m.mu.Unlock()
+	started := time.Now()
+	results, _ = send(m, l, "b")
+	require.NoError(t, (<-results).Err)
+	require.Less(t, time.Since(started), 10*closeTimeout)
+}
--- a/internal/modules/leafpool/module.go
+++ b/internal/modules/leafpool/module.go
@@ -230,6 +230,7 @@
 		c = p.takeIdle(now, req)
 	}
 	full := c == nil && p.open-p.preconnecting >= limit
+	awaitClosed := p.mustAwaitClosed(limit)
 	if c == nil && !full && !refused {
 		p.open++
 	}
@@ -244,7 +245,7 @@
 	default:
 		ctx, stop := context.WithCancel(m.runCtx)
 		a.stopDial = stop
-		go p.dial(ctx, a)
+		go p.dial(ctx, a, awaitClosed)
 	}
 	return a
 }
--- a/internal/modules/leafpool/pool.go
+++ b/internal/modules/leafpool/pool.go
@@ -22,6 +22,8 @@
 	// of idle.
 	open int
 	idle []*conn
+	// closing holds idle connections that this VM closes and that the leaf has not closed yet. They take no place in open.
+	closing []*conn
 	// retired reports whether connections are closed instead of becoming idle, and no new ones are opened: the leaf is no
 	// longer listed, or has replied that it is leaving.
 	retired bool
@@ -36,7 +38,7 @@
 }
 
 // takeIdle removes and returns an idle connection that the leaf is expected to keep open long enough, or returns nil. It
-// closes those that it finds and that the leaf is not. It skips those on which a second copy of the last reply could be taken for the
+// closes those that the leaf may close before. It skips those on which a second copy of the last reply could be taken for the
 // reply to the request, and closes one of them if there are no others, which leaves a place for a new one. The caller holds the lock.
 func (p *pool) takeIdle(now time.Time, req *forward.LeafRequest) *conn {
 	for i := len(p.idle) - 1; i >= 0; i-- {
@@ -49,24 +51,56 @@
 		if usable {
 			return c
 		}
-		p.uncount(c)
-		go c.net.Close()
+		p.closeIdle(c)
 	}
 	if n := len(p.idle); n > 0 {
 		c := p.idle[n-1]
 		p.idle = p.idle[:n-1]
-		p.uncount(c)
-		go c.net.Close()
+		p.closeIdle(c)
 	}
 	return nil
 }
 
-// uncount removes a connection that is about to be closed, or has ended, from the count. An idle connection has to be removed at the
-// moment at which it stops being idle: requests that find no available connection meanwhile would wait, and its end wakes none. The
+// closeTimeout is how long a leaf may take to close its side of a connection before the next one is opened in its place.
+const closeTimeout = 100 * time.Millisecond
+
+// closeIdle closes a connection that was idle. It leaves its place at once, since its end wakes no request that waits for one. The
+// caller holds the lock.
+func (p *pool) closeIdle(c *conn) {
+	p.uncount(c)
+	p.closing = append(p.closing, c)
+	go c.closeGracefully()
+}
+
+// mustAwaitClosed reports whether one connection more could be above the limit, as the leaf counts those that it has not closed. The
 // caller holds the lock.
+func (p *pool) mustAwaitClosed(limit int) bool {
+	return len(p.closing) > 0 && p.open-p.preconnecting+len(p.closing) >= limit
+}
+
+// awaitClosed waits until the leaf has closed the connections that are being closed, or closeTimeout has passed. A leaf that still counts
+// them could reset the next connection after a request was sent on it.
+func (p *pool) awaitClosed(ctx context.Context) {
+	p.module.mu.Lock()
+	closing := slices.Clone(p.closing)
+	p.module.mu.Unlock()
+	timer := time.NewTimer(closeTimeout)
+	defer timer.Stop()
+	for _, c := range closing {
+		select {
+		case <-c.uncounted:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// uncount removes a connection that is about to be closed, or has ended, from the count. The caller holds the lock.
 func (p *pool) uncount(c *conn) {
-	if !c.discounted {
-		c.discounted = true
+	if !c.isUncounted {
+		c.isUncounted = true
 		p.open--
 		p.endAdvance(c)
 	}
@@ -158,23 +192,20 @@
 	m.mu.Lock()
 	expired := !m.now().Before(c.usableUntil) && p.removeIdle(c)
 	if expired {
-		p.uncount(c)
+		p.closeIdle(c)
 	}
 	m.mu.Unlock()
-	if expired {
-		_ = c.net.Close() // The reading goroutine ends.
-	}
 }
 
 // closed removes a connection from the count. c is nil for a connection that could not be opened.
 func (p *pool) closed(c *conn) {
 	p.module.mu.Lock()
 	defer p.module.mu.Unlock()
-	p.removeClosed(c)
+	p.closedLocked(c)
 }
 
-// removeClosed is closed for a caller that holds the lock.
-func (p *pool) removeClosed(c *conn) {
+// closedLocked does the same for a caller that holds the lock.
+func (p *pool) closedLocked(c *conn) {
 	if c == nil {
 		p.open--
 	} else {
@@ -187,6 +218,9 @@
 		p.module.recheckPreferred()
 	}
 	p.removeIdle(c)
+	if i := slices.Index(p.closing, c); i >= 0 {
+		p.closing = slices.Delete(p.closing, i, i+1)
+	}
 }
 
 // removeIdle removes a connection from the idle ones, and reports whether it was idle. The caller holds the lock.
@@ -200,10 +234,13 @@
 
 // dial opens a connection, sends an attempt on it and reads replies until the connection ends. It runs on a goroutine of
 // its own, the reading goroutine of the connection.
-func (p *pool) dial(ctx context.Context, a *attempt) {
+func (p *pool) dial(ctx context.Context, a *attempt, awaitClosed bool) {
 	defer a.stopDial()
 	ctx, stop := context.WithDeadline(ctx, a.req.Until)
 	defer stop()
+	if awaitClosed {
+		p.awaitClosed(ctx)
+	}
 	n, err := p.module.connect(ctx, p.leaf)
 	if err != nil {
 		p.closed(nil)
--- a/internal/modules/leafpool/preconnect.go
+++ b/internal/modules/leafpool/preconnect.go
@@ -137,20 +137,25 @@
 
 // preconnectTo opens an idle connection to a leaf, and reads from it until it ends.
 func (m *Module) preconnectTo(l *leaves.Member) {
+	limit := m.limit(l)
 	m.mu.Lock()
 	p := m.poolOf(l)
 	if p.open > 0 || p.refuses(m.now()) {
 		m.mu.Unlock()
 		return
 	}
+	awaitClosed := p.mustAwaitClosed(limit)
 	p.open++
 	p.preconnecting++
 	m.mu.Unlock()
+	if awaitClosed {
+		p.awaitClosed(m.runCtx)
+	}
 	n, err := m.connect(m.runCtx, l)
 	if err != nil {
 		m.mu.Lock()
 		p.preconnecting--
-		p.removeClosed(nil)
+		p.closedLocked(nil)
 		m.mu.Unlock()
 		return
 	}
