--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -42,8 +42,8 @@
 	// CountFirst counts a first attempt at a service. TryExtra counts an extra attempt if the budget of the service allows it.
 	CountFirst(now time.Time, service model.ServiceName)
 	TryExtra(now time.Time, service model.ServiceName, hedge bool) Extra
-	// Withdraw reports whether no byte of an attempt that has not ended has been sent, and none ever will be. The attempt is given
-	// by number, as in Send.
+	// Withdraw takes back an attempt that has not ended, unless a byte of it may have been sent, and reports whether it has. Nothing is
+	// sent of it afterwards. The attempt is given by number, as in Send.
 	Withdraw(part, attempt int) bool
 	// HedgeDelay returns how long an attempt may be unanswered before the request is sent to another leaf as well.
 	HedgeDelay() time.Duration
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -151,7 +151,7 @@
 	}
 }
 
-// limitHeader makes the limit of a header count from its first byte. net/http counts it from the byte of number peekSize, and applies
+// limitHeader makes the limit of a header count from its first byte. net/http counts it from the fourth byte on (peekSize), and applies
 // the limit of idle connections until then.
 func (c *conn) limitHeader(now time.Time) {
 	if c.set.headerTimeout <= 0 {
--- a/internal/kernel/interfaces.go
+++ b/internal/kernel/interfaces.go
@@ -328,8 +328,8 @@
 type LeafAttempt interface {
 	// Cancel ends the attempt early and closes its connection; done is still called.
 	Cancel()
-	// Withdraw reports whether no byte of the request has been sent, and none ever will be. An attempt that may have been sent
-	// continues. Done is called in either case.
+	// Withdraw takes the attempt back, unless a byte of the request may have been sent, and reports whether it has. Nothing is sent
+	// afterwards. An attempt that may have been sent continues. Done is called in either case.
 	Withdraw() bool
 }
 
