--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -439,7 +439,7 @@
 func (r *Run) Waiting() []model.ServiceName {
 	var out []model.ServiceName
 	for i := range r.parts {
-		if p := &r.parts[i]; p.waiting && p.reply == nil && !p.failed && !slices.Contains(out, p.service) {
+		if p := &r.parts[i]; p.waiting && p.reply == nil && !p.failed {
 			out = append(out, p.service)
 		}
 	}
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -188,13 +188,6 @@
 	return best
 }
 
-// HasAvailable reports whether Choose returns a leaf of the list for an attempt that was sent to none of them.
-func (t *Tracker) HasAvailable(now time.Time, list []*leaves.Member, connections Connections) bool {
-	return slices.ContainsFunc(list, func(m *leaves.Member) bool {
-		return !t.Refuses(now, m) && connections.AvailableConnections(m) > 0
-	})
-}
-
 // cost returns the expected latency of a leaf, weighted with its failures, in units of the typical latency of the route.
 // badRate is the rate of bad attempts at the leaf across all entry VMs, if it is an outlier.
 func (t *Tracker) cost(now time.Time, m *leaves.Member, s *leafStats, typical time.Duration, badRate float64) float64 {
@@ -257,8 +250,6 @@
 	Paused time.Duration
 	// Leaving reports whether this is the first reply in which the leaf states that it is leaving.
 	Leaving bool
-	// Refuses reports whether the leaf has taken requests of this VM before and does not any more: it is leaving or paused.
-	Refuses bool
 }
 
 // AttemptEnded records the result of an attempt that was started at the given time. A cancelled attempt does not count for or
@@ -281,11 +272,9 @@
 		s.unansweredAt = started
 	}
 	if r != nil && r.Leaving && !r.WrongLeaf {
-		v.Refuses = !s.refuses(now)
 		v.Leaving, s.leaving = !s.leaving, true
 	}
 	if r != nil && !r.WrongLeaf && r.Pause() > 0 {
-		v.Refuses = v.Refuses || !s.refuses(now)
 		v.Paused = r.Pause()
 		s.pausedUntil = later(s.pausedUntil, now.Add(v.Paused))
 		return v
--- a/internal/modules/forwarder/runner.go
+++ b/internal/modules/forwarder/runner.go
@@ -29,10 +29,6 @@
 	results *resultQueue
 	// wakes gets a value when a leaf for which the request waits has an available connection.
 	wakes chan struct{}
-	// wokenFor lists the services for whose connections the request was woken since the last step. It is guarded by the module's lock.
-	wokenFor []model.ServiceName
-	// woken lists those for which it was woken before the current step.
-	woken []model.ServiceName
 	// waiting lists the services in whose queues the request is.
 	waiting []model.ServiceName
 	// wanted lists the services at which the current step needs extra attempts beyond the budget of this VM.
@@ -97,7 +93,6 @@
 		for _, x := range r.results.take() {
 			r.record(x)
 		}
-		r.takeWakes()
 		now := r.module.now()
 		sends, response, wake := r.state.Step(now)
 		if response != nil {
@@ -109,7 +104,7 @@
 		for _, s := range sends {
 			r.start(now, s)
 		}
-		r.updateQueues(now, sends)
+		r.updateQueues()
 		if age := now.Sub(r.req.Received); age < zoneCheckEnd {
 			r.module.unresponsiveZones(now)
 			if next := now.Add(zoneCheckInterval); next.Before(wake) {
@@ -170,12 +165,7 @@
 	}
 	verdict := m.tracker.AttemptEnded(m.now(), r.route.Name, a.leaf, a.startedAt, &result, cancelled)
 	m.startReports()
-	if verdict.Refuses {
-		// Requests that wait for this leaf now wait for the end of its pause, or have to give up.
-		m.waiters.wakeService(a.leaf.Service)
-	} else {
-		m.waiters.wake(a.leaf.Service)
-	}
+	m.waiters.wake(a.leaf.Service)
 	m.mu.Unlock()
 	if verdict.Leaving {
 		m.reporter.MarkLeaving(a.leaf.Key())
@@ -205,63 +195,25 @@
 	a.handle.Cancel()
 }
 
-// wake lets the request run another step. The caller holds the lock.
-func (r *runner) wake() {
-	select {
-	case r.wakes <- struct{}{}:
-	default: // It is woken already.
-	}
-}
-
-// takeWakes takes the wake-ups before a step. Those that arrive during the step are for the next one.
-func (r *runner) takeWakes() {
-	if len(r.waiting) == 0 {
-		return
-	}
-	r.module.mu.Lock()
-	defer r.module.mu.Unlock()
-	r.woken, r.wokenFor = append(r.woken[:0], r.wokenFor...), r.wokenFor[:0]
-	select {
-	case <-r.wakes:
-	default:
-	}
-}
-
 // updateQueues enters the request into the queues of the services whose leaves have no available connection, and
-// removes it from all others. It passes on the wake-ups for which the step has sent nothing.
-func (r *runner) updateQueues(now time.Time, sends []forward.Send) {
+// removes it from all others.
+func (r *runner) updateQueues() {
 	services := r.state.Waiting()
-	if slices.Equal(services, r.waiting) && len(r.woken) == 0 {
+	if slices.Equal(services, r.waiting) {
 		return
 	}
-	m := r.module
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	r.woken = slices.DeleteFunc(r.woken, func(service model.ServiceName) bool {
-		return slices.ContainsFunc(sends, func(s forward.Send) bool { return s.Leaf.Service == service })
-	})
-	for _, service := range r.woken {
-		if slices.Contains(services, service) {
-			r.passOn(now, service)
-		}
-	}
-	left, entered := without(r.waiting, services), without(services, r.waiting)
-	r.leave(now, left)
-	m.waiters.add(entered, r)
-	r.waiting, r.woken = services, nil
-	if len(entered) > 0 {
+	r.module.mu.Lock()
+	defer r.module.mu.Unlock()
+	r.module.waiters.remove(r.waiting, r)
+	r.waiting = services
+	r.module.waiters.add(services, r)
+	if len(services) > 0 {
 		// A connection may have become available since the step, and has woken another request or none.
-		r.wake()
-	}
-}
-
-func without(list, excluded []model.ServiceName) (out []model.ServiceName) {
-	for _, s := range list {
-		if !slices.Contains(excluded, s) {
-			out = append(out, s)
+		select {
+		case r.wakes <- struct{}{}:
+		default: // The next step is due anyway.
 		}
 	}
-	return out
 }
 
 func (r *runner) leaveQueues() {
@@ -270,25 +222,10 @@
 	}
 	r.module.mu.Lock()
 	defer r.module.mu.Unlock()
-	r.leave(r.module.now(), r.waiting)
-}
-
-// leave removes the request from queues and passes on its wake-ups for them. The caller holds the lock.
-func (r *runner) leave(now time.Time, services []model.ServiceName) {
-	for _, s := range services {
-		if slices.Contains(r.woken, s) || slices.Contains(r.wokenFor, s) {
-			r.passOn(now, s)
-		}
-	}
-	r.module.waiters.remove(services, r)
-	r.wokenFor = without(r.wokenFor, services)
-}
-
-// passOn wakes the next request behind this one if a connection to a leaf of the service is available. The caller holds the lock.
-func (r *runner) passOn(now time.Time, service model.ServiceName) {
-	m := r.module
-	if m.tracker.HasAvailable(now, m.members(service), m.transport) {
-		m.waiters.wakeBehind(service, r)
+	r.module.waiters.remove(r.waiting, r)
+	// The next request may use the connection for which this one was woken.
+	for _, s := range r.waiting {
+		r.module.waiters.wake(s)
 	}
 }
 
--- a/internal/modules/forwarder/waiters.go
+++ b/internal/modules/forwarder/waiters.go
@@ -32,36 +32,25 @@
 	}
 }
 
-// wake lets the first waiting request of a service try again. Requests that were woken for the service and have not run since are
-// skipped.
-func (w waiters) wake(service model.ServiceName) { wakeFirst(service, w[service]) }
-
-// wakeBehind is wake for the requests behind r.
-func (w waiters) wakeBehind(service model.ServiceName, r *runner) {
-	list := w[service]
-	wakeFirst(service, list[slices.Index(list, r)+1:])
-}
-
-func wakeFirst(service model.ServiceName, list []*runner) {
-	for _, r := range list {
-		if !slices.Contains(r.wokenFor, service) {
-			r.wokenFor = append(r.wokenFor, service)
-			r.wake()
+// wake lets the first waiting request of a service try again. Requests that were woken and have not run since are skipped.
+func (w waiters) wake(service model.ServiceName) {
+	for _, r := range w[service] {
+		select {
+		case r.wakes <- struct{}{}:
 			return
+		default:
 		}
 	}
 }
 
-// wakeService lets all waiting requests of a service try again.
-func (w waiters) wakeService(service model.ServiceName) {
-	for _, r := range w[service] {
-		r.wake()
-	}
-}
-
 // wakeAll lets all waiting requests try again.
 func (w waiters) wakeAll() {
-	for service := range w {
-		w.wakeService(service)
+	for _, list := range w {
+		for _, r := range list {
+			select {
+			case r.wakes <- struct{}{}:
+			default: // It is woken already.
+			}
+		}
 	}
 }
