Add customers, evacuations and allowances to the shared types

Cause: two deployments need customers with keys and quotas, evacuations of availability zones and limits over all VMs, and no type of the code has them. Result: go test ./internal/routes ./internal/routescodec passes. Nothing uses the new fields yet.

--- /dev/null
+++ b/internal/allowance/types.go
@@ -0,0 +1,45 @@
+// Package allowance decides how limits on what all entry VMs do together are divided among them: quotas of customers, extra
+// attempts at services, and requests to cold leaves. It does no I/O: the clock is an argument, and messages are values.
+package allowance
+
+import "time"
+
+// Kind is the kind of thing that an allowance limits.
+type Kind uint8
+
+// The kinds of allowances.
+const (
+	// KindCustomer limits the requests of a customer.
+	KindCustomer Kind = iota + 1
+	// KindExtra limits the extra attempts at a service.
+	KindExtra
+	// KindColdLeaf limits the requests to one incarnation of a cold leaf.
+	KindColdLeaf
+)
+
+// Key names an allowance.
+type Key struct {
+	Kind Kind
+	Name string
+}
+
+// Limit is a token bucket for all VMs together. In a time t at most Rate*t + Burst + Slack units are used; Slack is what the
+// inexact parts may use in addition, such as a VM that has just started to keep the allowance.
+type Limit struct {
+	// Rate is in units per second.
+	Rate  float64
+	Burst float64
+	Slack float64
+	// Version orders changes of the limit: the limit with the highest version holds. It is the version of the route table that
+	// states the limit.
+	Version uint64
+}
+
+// Answer is the answer to a request for units of an allowance.
+type Answer struct {
+	Granted bool
+	// RetryAfter is when units are expected to be available for this caller, if none was granted.
+	RetryAfter time.Duration
+	// Local reports whether this VM has decided without the VM that keeps the allowance.
+	Local bool
+}
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
+	"github.com/chestnuttiller/chestnuttiller/internal/routes"
 )
 
 // Field is one header of a request or reply.
@@ -27,10 +28,26 @@
 	Received time.Time
 	// Deadline is when the caller stops waiting. If it is zero, only the route's timeout applies.
 	Deadline time.Time
+	// Keys holds the keys by which the caller identifies its customer, one for each header that names one. Customer is the customer
+	// that holds the key. It is nil on routes that need no key.
+	Keys     []string
+	Customer *routes.Customer
+	// HasCustomers reports whether the route table in force has customers. A leaf then gets neither the key nor a customer's name
+	// that the caller sent.
+	HasCustomers bool
 	// EndBy is when this VM answers at the latest because it is shutting down. It is zero if the VM is not.
 	EndBy time.Time
 }
 
+// Rank returns the rank of the request on a route: that of its customer if the customer has one, and of the route otherwise. Requests
+// of rank 0 are served first.
+func (r *Request) Rank(route *routes.Route) int {
+	if r.Customer != nil && r.Customer.Rank != nil {
+		return *r.Customer.Rank
+	}
+	return route.Rank
+}
+
 // LeafRequest is a request to one leaf.
 type LeafRequest struct {
 	*Request
@@ -116,6 +133,10 @@
 	KindNotReady Kind = "not_ready"
 	// KindRefused means that the request has not run and never will.
 	KindRefused Kind = "refused"
+	// KindUnauthorized means that the request names no customer of the route table in force. It has not run.
+	KindUnauthorized Kind = "unauthorized"
+	// KindOverQuota means that the quota of the customer is used up. The request has not run.
+	KindOverQuota Kind = "over_quota"
 	// KindFailed means that no leaf gave a usable reply. The request may have run.
 	KindFailed Kind = "failed"
 	// KindTimeout means that no usable reply came before the deadline. The request may have run.
--- a/internal/kernel/interfaces.go
+++ b/internal/kernel/interfaces.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/chestnuttiller/chestnuttiller/internal/allowance"
 	"github.com/chestnuttiller/chestnuttiller/internal/forward"
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
@@ -46,6 +47,8 @@
 	CapForwarder       Capability = "forwarder"
 	CapLeafTransport   Capability = "leaf_transport"
 	CapLeafProtocol    Capability = "leaf_protocol"
+	CapAllowances      Capability = "allowances"
+	CapEvacuations     Capability = "evacuations"
 )
 
 // LogSink writes log lines without blocking.
@@ -269,11 +272,32 @@
 type RouteState interface {
 	// Table returns the table in force, or nil. It is called on the control goroutine.
 	Table() *routes.Table
+	// Evacuations returns the evacuated availability zones. It is called on the control goroutine.
+	Evacuations() routes.Evacuations
 }
 
 // RoutesChanged is an event for the control goroutine: the control log put another table into force on this VM.
 type RoutesChanged struct{ Table *routes.Table }
 
+// EvacuationsChanged is an event for the control goroutine: the control log changed the evacuated availability zones.
+type EvacuationsChanged struct{ Evacuations routes.Evacuations }
+
+// Evacuator starts and ends the evacuations of availability zones, on control VMs.
+type Evacuator interface {
+	// SetEvacuated returns once it is committed that a zone is evacuated, or no longer is. An error of kind not_found means that the
+	// zone is unknown, and one of kind outcome_unknown that the change may still come into force.
+	SetEvacuated(ctx context.Context, zone model.AvailabilityZone, evacuated bool) error
+}
+
+// Allowances limits what all entry VMs together do, such as the requests of a customer.
+type Allowances interface {
+	// Take takes n units of an allowance. It waits for the VM that keeps the allowance until ctx ends; this VM's own part of the
+	// allowance then decides.
+	Take(ctx context.Context, key allowance.Key, limit allowance.Limit, n int) allowance.Answer
+	// Return gives back units that were taken and not used. It does not wait.
+	Return(key allowance.Key, n int)
+}
+
 // RoutePublisher puts route tables into force, on control VMs.
 type RoutePublisher interface {
 	// Publish returns once the table, or one with a higher version, is committed, and returns the version in
--- a/internal/kernel/view.go
+++ b/internal/kernel/view.go
@@ -36,6 +36,10 @@
 	LeafOutliers leaves.Outliers
 	// EntryVMs is how many entry VMs share the connections to leaves, this VM included. It is 0 while unknown.
 	EntryVMs int
+	// Evacuations holds the availability zones to whose leaves nothing is sent.
+	Evacuations routes.Evacuations
+	// AllowanceOwners lists the entry VMs that keep allowances, by availability zone.
+	AllowanceOwners map[model.AvailabilityZone][]model.VMName
 }
 
 // Directory is the immutable set of targets with live leases.
--- a/internal/modules/routestate/machine.go
+++ b/internal/modules/routestate/machine.go
@@ -87,6 +87,9 @@
 // Table implements kernel.RouteState.
 func (m *Machine) Table() *routes.Table { return m.newest.Table }
 
+// Evacuations implements kernel.RouteState.
+func (m *Machine) Evacuations() routes.Evacuations { return routes.Evacuations{} }
+
 // Snapshot implements kernel.StateMachine.
 func (m *Machine) Snapshot() ([]byte, error) { return m.encoded, nil }
 
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -42,6 +42,10 @@
 	TopRecords int
 	// MinCoverage is the least share of the shards that is enough for an answer.
 	MinCoverage float64
+	// Public routes need no key of a customer.
+	Public bool
+	// Regions lists the regions whose leaves may get requests of the route. Without any, all regions may.
+	Regions []string
 }
 
 // IsScatterGather reports whether a request of the route is sent to all shards and their replies are merged.
@@ -53,6 +57,10 @@
 	HealthPath string
 	// MaxConnections is the number of connections that each leaf accepts from all clients together.
 	MaxConnections int
+	// WarmUp is how long a leaf is cold after its start. A cold leaf gets at most WarmUpRate requests per second from all entry VMs
+	// together; 0 means no limit.
+	WarmUp     time.Duration
+	WarmUpRate float64
 }
 
 // Limits restricts the size of callers' requests and the time that they may take. Zero means no limit.
@@ -69,9 +77,12 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Customers may be empty: then requests need no keys.
+	Customers []Customer
 
 	byHost   map[string][]*Route
 	services map[model.ServiceName]*Service
+	byKey    map[KeyDigest]*Customer
 }
 
 // Publication is a table with the document in which the operator sent it.
@@ -91,8 +102,14 @@
 		if _, ok := t.services[s.Name]; ok {
 			return nil, invalid("list each service once", "service %q is listed twice", s.Name)
 		}
+		if s.WarmUp < 0 || !isAmount(s.WarmUpRate) {
+			return nil, invalid("use a warm-up and a rate of 0 or above", "service %q has a warm-up of %s at %v requests a second", s.Name, s.WarmUp, s.WarmUpRate)
+		}
 		t.services[s.Name] = s
 	}
+	if err := t.buildCustomers(); err != nil {
+		return nil, err
+	}
 	t.byHost = map[string][]*Route{}
 	for i := range t.Routes {
 		r := &t.Routes[i]
--- a/internal/routes/routes_test.go
+++ b/internal/routes/routes_test.go
@@ -86,3 +86,39 @@
 	require.Equal(t, model.ServiceName("a"), least.Pick(0.49))
 	require.Equal(t, model.ServiceName("b"), least.Pick(0.51))
 }
+
+// Guards against customers that cannot be told apart, and against quotas without a meaning.
+func TestInvalidCustomersAreRefused(t *testing.T) {
+	key := func(s string) []KeyDigest { return []KeyDigest{DigestKey(s)} }
+	for name, list := range map[string][]Customer{
+		"shared key":     {{Name: "a", Keys: key("k")}, {Name: "b", Keys: key("k")}},
+		"same name":      {{Name: "a"}, {Name: "a"}},
+		"no name":        {{Keys: key("k")}},
+		"name of a line": {{Name: "a\r\nX: y"}},
+		"negative rate":  {{Name: "a", Quota: Quota{Rate: -1}}},
+		"negative burst": {{Name: "a", Quota: Quota{Rate: 1, Burst: -1}}},
+		"infinite rate":  {{Name: "a", Quota: Quota{Rate: math.Inf(1)}}},
+		"no number":      {{Name: "a", Quota: Quota{Rate: math.NaN()}}},
+	} {
+		x := newTable(Route{Prefix: "/"})
+		x.Customers = list
+		_, err := Build(x)
+		require.Equal(t, errs.KindInvalid, errs.KindOf(err), name)
+	}
+}
+
+// Guards against a request that is taken for one of another customer, and against a key that is needed where there are no customers.
+func TestCustomersAreFoundByTheirKeys(t *testing.T) {
+	x := newTable(Route{Prefix: "/"}, Route{Prefix: "/open/", Public: true})
+	require.False(t, x.NeedsKey(&x.Routes[0]), "a table without customers")
+	x.Customers = []Customer{{Name: "a", Keys: []KeyDigest{DigestKey("1"), DigestKey("1"), DigestKey("2")}}, {Name: "b", Keys: []KeyDigest{DigestKey("3")}}}
+	x, err := Build(x)
+	require.NoError(t, err)
+	require.True(t, x.NeedsKey(x.Match("h", "/x")))
+	require.False(t, x.NeedsKey(x.Match("h", "/open/x")))
+	require.Equal(t, "a", x.CustomerOf("2").Name)
+	require.Equal(t, "b", x.CustomerOf("3").Name)
+	for _, unknown := range []string{"", "4", " 2", "2 "} {
+		require.Nil(t, x.CustomerOf(unknown), unknown)
+	}
+}
--- a/internal/routescodec/routescodec.go
+++ b/internal/routescodec/routescodec.go
@@ -63,7 +63,11 @@
 		out.Routes = append(out.Routes, routeToProto(&t.Routes[i]))
 	}
 	for _, s := range t.Services {
-		out.Services = append(out.Services, &routespb.Service{Name: string(s.Name), HealthPath: s.HealthPath, MaxConnections: limitInt32(s.MaxConnections)})
+		out.Services = append(out.Services, &routespb.Service{Name: string(s.Name), HealthPath: s.HealthPath, MaxConnections: limitInt32(s.MaxConnections),
+			WarmUpMs: s.WarmUp.Milliseconds(), WarmUpRate: s.WarmUpRate})
+	}
+	for i := range t.Customers {
+		out.Customers = append(out.Customers, customerToProto(&t.Customers[i]))
 	}
 	return out
 }
@@ -76,6 +80,7 @@
 		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Repeatable: r.Repeatable,
 		TimeoutMs: r.Timeout.Milliseconds(), ObjectiveMs: r.Objective.Milliseconds(), Rank: limitInt32(r.Rank),
 		MaxAttempts: limitInt32(r.MaxAttempts), TopRecords: limitInt32(r.TopRecords), MinCoverage: r.MinCoverage,
+		Public: r.Public, Regions: r.Regions,
 	}
 	for _, s := range r.Split {
 		out.Split = append(out.Split, &routespb.Share{Service: string(s.Service), Weight: s.Weight})
@@ -100,7 +105,15 @@
 		t.Routes = append(t.Routes, routeFromProto(r))
 	}
 	for _, s := range message.GetServices() {
-		t.Services = append(t.Services, routes.Service{Name: model.ServiceName(s.GetName()), HealthPath: s.GetHealthPath(), MaxConnections: int(s.GetMaxConnections())})
+		t.Services = append(t.Services, routes.Service{Name: model.ServiceName(s.GetName()), HealthPath: s.GetHealthPath(), MaxConnections: int(s.GetMaxConnections()),
+			WarmUp: millis(s.GetWarmUpMs()), WarmUpRate: s.GetWarmUpRate()})
+	}
+	for _, c := range message.GetCustomers() {
+		customer, err := customerFromProto(c)
+		if err != nil {
+			return nil, err
+		}
+		t.Customers = append(t.Customers, customer)
 	}
 	return routes.Build(t)
 }
@@ -110,6 +123,7 @@
 		Name: r.GetName(), Host: r.GetHost(), Prefix: r.GetPrefix(), Repeatable: r.GetRepeatable(),
 		Timeout: millis(r.GetTimeoutMs()), Objective: millis(r.GetObjectiveMs()), Rank: int(r.GetRank()),
 		MaxAttempts: int(r.GetMaxAttempts()), TopRecords: int(r.GetTopRecords()), MinCoverage: r.GetMinCoverage(),
+		Public: r.GetPublic(), Regions: r.GetRegions(),
 	}
 	for _, s := range r.GetSplit() {
 		out.Split = append(out.Split, routes.Share{Service: model.ServiceName(s.GetService()), Weight: s.GetWeight()})
@@ -120,4 +134,31 @@
 	return out
 }
 
+func customerToProto(c *routes.Customer) *routespb.Customer {
+	out := &routespb.Customer{Name: c.Name, Rate: c.Quota.Rate, Burst: c.Quota.Burst, Regions: c.Regions}
+	for _, k := range c.Keys {
+		out.KeyDigests = append(out.KeyDigests, k[:])
+	}
+	if c.Rank != nil {
+		rank := limitInt32(*c.Rank)
+		out.Rank = &rank
+	}
+	return out
+}
+
+func customerFromProto(in *routespb.Customer) (routes.Customer, error) {
+	out := routes.Customer{Name: in.GetName(), Quota: routes.Quota{Rate: in.GetRate(), Burst: in.GetBurst()}, Regions: in.GetRegions()}
+	for _, k := range in.GetKeyDigests() {
+		if len(k) != len(routes.KeyDigest{}) {
+			return routes.Customer{}, errs.New(errs.KindInvalid, "run the same release on all VMs", "a key digest of customer %q has %d bytes", in.GetName(), len(k))
+		}
+		out.Keys = append(out.Keys, routes.KeyDigest(k))
+	}
+	if in.Rank != nil {
+		rank := int(in.GetRank())
+		out.Rank = &rank
+	}
+	return out, nil
+}
+
 func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -89,7 +89,9 @@
 	DataFolder string
 	DrainDelay time.Duration
 	DrainLimit time.Duration
-	Peers      []Peer
+	// ZoneRegions maps the availability zones of the system to their regions. It is empty where the settings do not list them.
+	ZoneRegions map[model.AvailabilityZone]string
+	Peers       []Peer
 	// DiscoversPeers reports whether Peers holds the control VMs at the seeds of the settings, from which further peers
 	// are discovered. VMs are then named by their IP addresses.
 	DiscoversPeers bool
@@ -105,6 +107,7 @@
 	{Section: "vm", Name: "cluster", Required: true, Help: "name of the system that this VM belongs to"},
 	{Section: "vm", Name: "name", Required: true, Help: "name of this VM"},
 	{Section: "vm", Name: "availability_zone", Required: true, Help: "availability zone of this VM"},
+	{Section: "vm", Name: "zone_regions", Kind: KindList, Help: "all availability zones of the system with their regions, such as az-1:north, az-2:north; needed for quotas, evacuations and allowed regions"},
 	{Section: "vm", Name: "roles", Kind: KindList, Default: RoleEntry, Choices: []string{RoleEntry, RoleControl}, Help: "roles of this process"},
 	{Section: "vm", Name: "traffic", Default: TrafficQueries, Choices: []string{TrafficQueries, TrafficRoutes}, Help: "queries: the product's own protocols; routes: requests routed by host and path"},
 	{Section: "vm", Name: "cpu_share", Kind: KindFloat, Default: "1", Min: 0.001, Max: 1024, Help: "cores that the process may use"},
@@ -240,6 +243,14 @@
 	s.DataFolder = s.String("data", "folder")
 	s.DrainDelay = s.Duration("shutdown", "drain_delay")
 	s.DrainLimit = s.Duration("shutdown", "drain_limit")
+	s.ZoneRegions = map[model.AvailabilityZone]string{}
+	for _, entry := range s.List("vm", "zone_regions") {
+		zone, region, ok := strings.Cut(entry, ":")
+		if !ok || zone == "" {
+			return errs.New(errs.KindInvalid, "write each availability zone with its region, such as az-1:north", "%s: [vm] zone_regions has %q", file, entry)
+		}
+		s.ZoneRegions[model.AvailabilityZone(zone)] = region
+	}
 	if s.HasRole(RoleControl) && s.DataFolder == "" {
 		return errs.New(errs.KindInvalid, "add [data] folder", "%s: a control VM needs a data folder", file)
 	}
