Refuse replies with malformed status lines

Cause: net/http takes statuses from 600 to 999, a version other than HTTP/1.x and two spaces before the status for a reply. A leaf's reply with the status 799 was passed on to the caller, and with Not-Executed its caller got 503 as if the request had not run. The transport to targets of queries did the same. A malformed or cut-off reply on a new connection counted as a refused connection, which is no evidence about the leaf at other VMs. Bytes of any kind on a new connection to a leaf mean that it was not refused.

--- a/internal/modules/leafpool/conn.go
+++ b/internal/modules/leafpool/conn.go
@@ -88,6 +88,8 @@
 	reader *bufio.Reader
 	// uncounted is closed once the connection has ended and is not counted any more.
 	uncounted chan struct{}
+	// answered reports whether any bytes have arrived. It is used on the reading goroutine.
+	answered bool
 	// usableUntil is the time from which the idle connection is not used again: idleMargin before the leaf may close it, or
 	// surplusIdleTimeout after its last use if the leaf is not preferred. It is zero when neither applies.
 	usableUntil time.Time
@@ -210,6 +212,7 @@
 		if _, err := c.reader.Peek(1); err != nil {
 			return c.fail(err)
 		}
+		c.answered = true
 		a := c.currentAttempt()
 		if a == nil {
 			reportLast = c.fail(nil)
@@ -289,7 +292,6 @@
 	c.writing.Unlock()
 	a, writeEnded := c.current, c.writeEnded
 	c.current, c.ended = nil, true
-	unused := !c.used
 	c.mu.Unlock()
 	if a == nil {
 		return func() {}
@@ -302,9 +304,9 @@
 	c.mu.Unlock()
 	m := c.pool.module
 	m.metrics.broken.Inc(1)
-	// A leaf resets connections above its limit, possibly after the first request was sent.
+	// A leaf resets connections above its limit, possibly after the first request was sent. It sends nothing on them.
 	a.mu.Lock()
-	a.refused = unused && !a.cancelled
+	a.refused = !c.answered && !a.cancelled
 	a.mu.Unlock()
 	if unsent {
 		return func() {
--- a/internal/modules/leafpool/leafpool_test.go
+++ b/internal/modules/leafpool/leafpool_test.go
@@ -371,6 +371,19 @@
 	require.False(t, (<-done).Refused, "the leaf did not close the connection")
 }
 
+// Guards against a leaf whose malformed replies on new connections are taken for refused connections, so that they are no evidence
+// about it at other VMs.
+func TestMalformedReplyOnANewConnectionIsNotRefused(t *testing.T) {
+	for _, bytes := range []string{"HTTP/1.1 799 X\r\n", "hal"} {
+		l, _ := startLeaf(t, func(c net.Conn, r *bufio.Reader) { _, _ = r.ReadString('\n'); _, _ = c.Write([]byte(bytes)) })
+		done, _ := send(newModule(t, l, 10), l, "a")
+		e := <-done
+		require.Error(t, e.Err)
+		require.False(t, e.Refused, bytes)
+		require.True(t, e.MayHaveRun(), bytes)
+	}
+}
+
 // onceProtocol is a protocol whose connections are not used again after a reply.
 type onceProtocol struct{ lineProtocol }
 
--- a/internal/modules/transport/attempt.go
+++ b/internal/modules/transport/attempt.go
@@ -21,6 +21,7 @@
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*countedConn); ok {
 			conn, writtenBefore = c, c.written.Load()
+			c.check.expect()
 		}
 	}}
 	hr, err := newRequest(httptrace.WithClientTrace(ctx, trace), t.Addr, req)
--- a/internal/modules/transport/pool.go
+++ b/internal/modules/transport/pool.go
@@ -190,6 +190,18 @@
 	refused atomic.Bool
 	written atomic.Int64
 	closed  atomic.Bool
+	check   replyCheck
+}
+
+// Read fails on bytes that do not begin a reply, which net/http could take for one.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		if err := c.check.observe(b[:n]); err != nil {
+			return 0, err
+		}
+	}
+	return n, err
 }
 
 // Write counts the bytes before it writes them, because bytes of a failed write may have been sent.
--- a/internal/modules/transport/transport_test.go
+++ b/internal/modules/transport/transport_test.go
@@ -106,6 +106,33 @@
 	}
 }
 
+// Guards against malformed replies that are taken for a success or for the promise that the attempt has not run.
+func TestMalformedStatusLinesAreNoReply(t *testing.T) {
+	for _, line := range []string{"HTTP/1.1 799 X", "HTTP/1.1 600 X", "HTTP/1.1 099 X", "HTTP/1.1  200 OK", "HTTP/2.0 200 OK"} {
+		for _, statement := range []string{"X-Other: 1", targetapi.HeaderNotRun + ": " + targetapi.NotRunShed} {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer func() { _ = c.Close() }()
+				lines := []string{
+					line, "Content-Length: 1", targetapi.HeaderAttempt + ": a1", targetapi.HeaderShard + ": 3", statement,
+					targetapi.HeaderSnapshot + ": 1.2", targetapi.HeaderChecksum + ": " + targetapi.Checksum([]byte("x")), "", "x",
+				}
+				_, _ = io.WriteString(c, strings.Join(lines, "\r\n")) // The other side detects a failure.
+			}))
+			m := newModule()
+			r := m.Send(context.Background(), targetAt(s.Listener.Addr().String()), request)
+			require.Equal(t, model.ReplyFailed, r.Status, "%s %s: %s", line, statement, r.Reason)
+			require.NoError(t, m.Stop(context.Background()))
+			s.Close()
+		}
+	}
+}
+
 // Guards against counting an attempt as sent although nothing listens on the address of the target.
 func TestRefusedConnectionIsNotSent(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
