Leave the outcome of a command unknown after a malformed status

Cause: the command line took an answer with a status below 100 or above 599 for the VM's statement that a change was not made. Change: such a status is no answer, and the outcome is unknown.

--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -102,6 +102,9 @@
 		return 0, nil, errs.Wrap(err, errs.KindUnknownOutcome, "check the VM and send the request again", "no answer from the VM")
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode < 100 || resp.StatusCode > 599 {
+		return 0, nil, errs.New(errs.KindUnknownOutcome, "check that --server is a VM, and send the request again", "the answer has the malformed status %d", resp.StatusCode)
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	return resp.StatusCode, data, errs.Wrap(err, errs.KindUnknownOutcome, "check the VM and send the request again", "the answer of the VM was cut off")
 }
