Test that a malformed reply is evidence about its leaf

Cause: the test of malformed replies on new connections ended at the result of the attempt. Change: it also records the result and requires one bad attempt in the evidence for other VMs. Result: go test -race ./internal/modules/leafpool passes.

--- a/internal/modules/leafpool/leafpool_test.go
+++ b/internal/modules/leafpool/leafpool_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -381,6 +382,12 @@
 		require.Error(t, e.Err)
 		require.False(t, e.Refused, bytes)
 		require.True(t, e.MayHaveRun(), bytes)
+		tracker, now := forward.NewTracker(forward.TrackerOptions{}, rand.New(rand.NewPCG(1, 2))), time.Unix(1000, 0)
+		tracker.AttemptStarted(now, "r", l)
+		tracker.AttemptEnded(now, "r", l, now, &e, false)
+		evidence := tracker.TakeEvidence()
+		require.Len(t, evidence, 1, bytes)
+		require.Equal(t, 1.0, evidence[0].Bad, bytes)
 	}
 }
 
