Decide evacuations of availability zones in the control log

Operators had no way to keep requests away from the leaves of a zone. An evacuation order is now an entry of the control log that states the revision it is based on, so that a copy which arrives after its reversal has no effect.

Control VMs send evacuations with the answers to watch requests, always before or with the routes that they have.

go test ./internal/routes ./internal/routescodec ./internal/modules/routestate ./internal/modules/membership: ok.

--- a/internal/kernel/interfaces.go
+++ b/internal/kernel/interfaces.go
@@ -316,6 +316,12 @@
 	Deregister(ctx context.Context, id string, bornMS int64) error
 }
 
+// LeafZoneLister lists the availability zones of the leaves that a control VM knows, also of those that have ended recently. The
+// provider of LeafRegistry implements it.
+type LeafZoneLister interface {
+	LeafZones(ctx context.Context) (map[model.AvailabilityZone]bool, error)
+}
+
 // LeafReporter sends this VM's evidence about leaves to other VMs.
 type LeafReporter interface {
 	// MarkLeaving removes an incarnation of a leaf that has replied that it is leaving from the views of this VM. No later
--- a/internal/modules/membership/codec.go
+++ b/internal/modules/membership/codec.go
@@ -105,6 +105,7 @@
 	for _, vm := range reply.GetControlVms() {
 		u.controlVMs = append(u.controlVMs, model.VMName(vm))
 	}
+	u.evacuations = routescodec.EvacuationsFromProto(reply.GetEvacuations())
 	if reply.GetRoutes() != nil {
 		t, err := routescodec.TableFromProto(reply.GetRoutes())
 		if err != nil {
--- a/internal/modules/membership/module.go
+++ b/internal/modules/membership/module.go
@@ -149,6 +149,7 @@
 	// entryLastWatch holds the time of the last watch request of each entry VM. It is used on control VMs only.
 	entryLastWatch map[model.VMName]time.Time
 	routes         *routes.Table
+	evacuations    routes.Evacuations
 	index          *leaves.Index
 	entryVMs       int
 	state          kernel.RouteState
@@ -179,6 +180,7 @@
 
 type metrics struct {
 	ready, draining, expired, routesVersion, entryVMs, outliers tally.Gauge
+	evacuatedZones                                              tally.Gauge
 	// invalidRecords counts the records of leaves that were ignored.
 	invalidRecords tally.Counter
 	// extrasGranted and extrasDenied count the extra attempts that entry VMs requested.
@@ -188,7 +190,7 @@
 func newMetrics(s tally.Scope) metrics {
 	return metrics{
 		ready: s.Gauge("leaves_ready"), draining: s.Gauge("leaves_draining"), expired: s.Gauge("leaves_lapsed"),
-		routesVersion: s.Gauge("routes_version"), entryVMs: s.Gauge("entry_vms"),
+		routesVersion: s.Gauge("routes_version"), evacuatedZones: s.Gauge("evacuated_zones"), entryVMs: s.Gauge("entry_vms"),
 		outliers: s.Gauge("leaves_in_trouble"), invalidRecords: s.Counter("invalid_records"),
 		extrasGranted: s.Counter("extras_granted"), extrasDenied: s.Counter("extras_denied"),
 	}
@@ -276,8 +278,8 @@
 	case peersEvent:
 		m.watchAll()
 		m.chooseSources(now)
-	case kernel.RoutesChanged:
-		m.applyRoutes(m.self, ev.Table)
+	case kernel.RoutesChanged, kernel.EvacuationsChanged:
+		m.applyState()
 	}
 }
 
@@ -341,8 +343,8 @@
 		m.pruneLeaving(now)
 		return
 	}
-	// The event of a route change may have been dropped because the queue was full.
-	m.applyRoutes(m.self, m.state.Table())
+	// The event of a change may have been dropped because the queue was full.
+	m.applyState()
 	before := m.table.Version()
 	m.table.Scan(now, scanInterval, m.lastContact)
 	if m.table.Version() != before {
@@ -369,4 +371,5 @@
 // ContributeView implements kernel.ViewContributor.
 func (m *Module) ContributeView(_ time.Time, v *kernel.View) {
 	v.Routes, v.Leaves, v.EntryVMs, v.LeafOutliers = m.routes, m.index, m.entryVMs, m.outlierPool.inForce
+	v.Evacuations = m.evacuations
 }
--- a/internal/modules/membership/updates.go
+++ b/internal/modules/membership/updates.go
@@ -23,10 +23,12 @@
 	complete     bool
 	leaves       []leaves.Leaf
 	// invalid holds an error for each record that was left out because no leaf can have it.
-	invalid    []error
-	routes     *routes.Table
-	entryVMs   int
-	controlVMs []model.VMName
+	invalid []error
+	routes  *routes.Table
+	// evacuations has revision 0 if the answer contains none.
+	evacuations routes.Evacuations
+	entryVMs    int
+	controlVMs  []model.VMName
 	// outlierVersion is the version of the control VM's outliers or, for control VMs, of its evidence.
 	// outliersRequested reports whether they were requested, and outliersIncluded whether the answer contains them.
 	outlierVersion                      uint64
@@ -57,6 +59,9 @@
 		m.addControl(vm)
 	}
 	m.watchAll()
+	if !m.isControl { // A control VM gets them from the log that it applies.
+		m.applyEvacuations(ev.from, ev.update.evacuations)
+	}
 	m.applyRoutes(ev.from, ev.update.routes)
 	switch {
 	case !ev.update.outliersRequested:
--- a/internal/modules/membership/watch.go
+++ b/internal/modules/membership/watch.go
@@ -13,6 +13,7 @@
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
 	"github.com/chestnuttiller/chestnuttiller/internal/modules/membership/membershippb"
+	"github.com/chestnuttiller/chestnuttiller/internal/routescodec"
 )
 
 // kindWatch is the kind of peer messages that request updates.
@@ -40,6 +41,7 @@
 		if v := m.control.View().Routes; v != nil {
 			req.RoutesVersion = uint64(v.Version)
 		}
+		req.EvacuationsRevision = m.control.View().Evacuations.Revision
 		u, err := m.sendWatch(runCtx, vm, s, req, hold+watchMargin)
 		if err != nil && s.full.Load() == light {
 			continue // The request was ended because leaves and routes are to be requested from this control VM now.
@@ -149,13 +151,14 @@
 		tableVersion = 0
 	}
 	newRoutes := !req.GetNoRoutes() && !req.GetLight() && m.routes != nil && uint64(m.routes.Version) > req.GetRoutesVersion()
+	newEvacuations := !req.GetControl() && m.evacuations.Revision > req.GetEvacuationsRevision()
 	outlierVersion := m.outlierPool.version
 	if req.GetControl() {
 		outlierVersion = m.outlierPool.evidenceVersion
 	}
 	newOutliers := req.GetTrouble() && (!sameIncarnation || req.GetTroubleVersion() != outlierVersion)
 	// The first light watch request is answered immediately, so that the sender detects that this VM responds.
-	hasUpdate := newRoutes || !sameIncarnation || newOutliers || !req.GetLight() && tableVersion != m.table.Version()
+	hasUpdate := newRoutes || newEvacuations || !sameIncarnation || newOutliers || !req.GetLight() && tableVersion != m.table.Version()
 	if !always && !hasUpdate {
 		return nil
 	}
@@ -180,6 +183,9 @@
 	if newRoutes {
 		reply.Routes = routesToProto(m.routes)
 	}
+	if newEvacuations {
+		reply.Evacuations = routescodec.EvacuationsToProto(m.evacuations)
+	}
 	for _, p := range m.peers.Peers() {
 		if p.Control && p.Connected {
 			reply.ControlVms = append(reply.ControlVms, string(p.VM))
--- a/internal/modules/routestate/publisher.go
+++ b/internal/modules/routestate/publisher.go
@@ -49,8 +49,9 @@
 	if err != nil {
 		return routes.Publication{}, err
 	}
-	if len(data) == 0 {
-		return routes.Publication{}, errs.New(errs.KindUnavailable, "publish a route table first", "no route table has been published yet")
+	s, err := routescodec.DecodeState(data)
+	if err == nil && s.Publication.Table == nil {
+		err = errs.New(errs.KindUnavailable, "publish a route table first", "no route table has been published yet")
 	}
-	return routescodec.Decode(data)
+	return s.Publication, err
 }
