--- a/internal/modules/routestate/evacuator.go
+++ b/internal/modules/routestate/evacuator.go
@@ -73,20 +73,32 @@
 		if latest.MayHaveChanged(before, zone) {
 			return errs.New(errs.KindUnavailable, "send the order again if it is still wanted", "other orders came into force first, and one may have reversed this one for availability zone %s", zone)
 		}
-		failure := m.propose(ctx, routes.EvacuationOrder{Zone: zone, End: !evacuated, BasedOn: latest.Revision})
+		order := routes.EvacuationOrder{Zone: zone, End: !evacuated, BasedOn: latest.Revision}
+		failure := m.propose(ctx, order)
 		if failure == nil {
+			m.confirm(ctx, order)
 			return nil
 		}
 		_ = level.Info(m.logger).Log("msg", "evacuation order is not committed yet", "zone", zone, "evacuated", evacuated, "based_on", latest.Revision, "err", failure)
 		if !m.mayRepeat(ctx, failure) {
-			return failure
+			return finalError(failure, zone)
 		}
-		if latest, err = m.read(ctx); err != nil {
-			return unknownOutcome(err, zone)
+		latest, err = m.read(ctx)
+		if err != nil {
+			return finalError(failure, zone)
 		}
 	}
 }
 
+// confirm proposes an order that is committed once more, which changes nothing. A control VM that is restarted applies at once only the
+// entries that it knows to be committed from its disk, which are those before its last write. Without a further entry it would send entry
+// VMs routes without the evacuation until a leader is elected.
+func (m *Evacuator) confirm(ctx context.Context, order routes.EvacuationOrder) {
+	if err := m.propose(ctx, order); err != nil {
+		_ = level.Warn(m.logger).Log("msg", "evacuation order is committed, but control VMs that are restarted now may know it only once a leader is elected", "zone", order.Zone, "end", order.End, "err", err)
+	}
+}
+
 // mayRepeat reports whether an order that failed is sent again, after a pause if its outcome is unknown. That is safe, since it is
 // based on a revision.
 func (m *Evacuator) mayRepeat(ctx context.Context, failure error) bool {
@@ -99,9 +111,12 @@
 	return false
 }
 
-// unknownOutcome returns the error of an order that was sent and whose outcome is not known.
-func unknownOutcome(cause error, zone model.AvailabilityZone) error {
-	return errs.Wrap(cause, errs.KindUnknownOutcome, "send the order again, also to another control VM", "whether the order for availability zone %s comes into force is unknown", zone)
+// finalError returns the error of an order that is not sent again. After a conflict the order has certainly had no effect.
+func finalError(failure error, zone model.AvailabilityZone) error {
+	if errs.KindOf(failure) != errs.KindConflict {
+		return failure
+	}
+	return errs.Wrap(failure, errs.KindUnavailable, "send the order again if it is still wanted", "the order for availability zone %s has had no effect within its time", zone)
 }
 
 // ended reports whether nobody waits for an order any more. A process that was suspended may notice its deadline before the context
