--- a/internal/modules/forwarder/zones.go
+++ b/internal/modules/forwarder/zones.go
@@ -94,9 +94,14 @@
 		_ = level.Warn(m.logger).Log("msg", "availability zone is unresponsive", "zone", z, "last_reply", last.UTC().Format(time.RFC3339Nano))
 	}
 	for _, z := range previous {
-		if !slices.Contains(unresponsive, z) {
-			_ = level.Info(m.logger).Log("msg", "availability zone is responsive again or evacuated", "zone", z)
+		if slices.Contains(unresponsive, z) {
+			continue
+		}
+		msg := "availability zone is responsive again"
+		if m.control.View().Evacuations.Has(z) {
+			msg = "availability zone is evacuated and no longer probed"
 		}
+		_ = level.Info(m.logger).Log("msg", msg, "zone", z)
 	}
 }
 
