--- a/internal/modules/routestate/evacuator.go
+++ b/internal/modules/routestate/evacuator.go
@@ -67,15 +67,19 @@
 		return err
 	}
 	for latest := before; ; {
+		order := routes.EvacuationOrder{Zone: zone, End: !evacuated, BasedOn: latest.Revision}
 		if latest.Has(zone) == evacuated {
+			if latest.Revision != before.Revision { // This order, or another like it, has come into force meanwhile.
+				m.confirm(ctx, order)
+			}
 			return nil
 		}
 		if latest.MayHaveChanged(before, zone) {
 			return errs.New(errs.KindUnavailable, "send the order again if it is still wanted", "other orders came into force first, and one may have reversed this one for availability zone %s", zone)
 		}
-		order := routes.EvacuationOrder{Zone: zone, End: !evacuated, BasedOn: latest.Revision}
-		failure := m.propose(ctx, order)
+		revision, failure := m.propose(ctx, order)
 		if failure == nil {
+			_ = level.Info(m.logger).Log("msg", "evacuation order committed", "zone", zone, "evacuated", evacuated, "revision", revision)
 			m.confirm(ctx, order)
 			return nil
 		}
@@ -94,7 +98,7 @@
 // entries that it knows to be committed from its disk, which are those before its last write. Without a further entry it would send entry
 // VMs routes without the evacuation until a leader is elected.
 func (m *Evacuator) confirm(ctx context.Context, order routes.EvacuationOrder) {
-	if err := m.propose(ctx, order); err != nil {
+	if _, err := m.propose(ctx, order); err != nil {
 		_ = level.Warn(m.logger).Log("msg", "evacuation order is committed, but control VMs that are restarted now may know it only once a leader is elected", "zone", order.Zone, "end", order.End, "err", err)
 	}
 }
@@ -126,23 +130,20 @@
 	return ctx.Err() != nil || ok && !m.now().Before(deadline)
 }
 
-func (m *Evacuator) propose(ctx context.Context, order routes.EvacuationOrder) error {
+// propose returns the revision in force once an order is committed.
+func (m *Evacuator) propose(ctx context.Context, order routes.EvacuationOrder) (revision uint64, err error) {
 	if m.ended(ctx) {
-		return errs.New(errs.KindUnavailable, "send the order again", "the time for the evacuation order has passed before it was sent")
+		return 0, errs.New(errs.KindUnavailable, "send the order again", "the time for the evacuation order has passed before it was sent")
 	}
 	data, err := routescodec.EncodeOrder(order)
 	if err != nil {
-		return errs.Wrap(err, errs.KindInvalid, "correct the name of the availability zone", "the evacuation order cannot be encoded")
+		return 0, errs.Wrap(err, errs.KindInvalid, "correct the name of the availability zone", "the evacuation order cannot be encoded")
 	}
 	result, err := m.client.ProposeEncoded(ctx, data)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	revision, err := routescodec.DecodeOrderResult(result)
-	if err == nil {
-		_ = level.Info(m.logger).Log("msg", "evacuation order committed", "zone", order.Zone, "end", order.End, "revision", revision)
-	}
-	return err
+	return routescodec.DecodeOrderResult(result)
 }
 
 // read returns the evacuations that a quorum confirms to be the latest.
