Dial other VMs with short time limits at first

Cause: after a power loss of all VMs the first packets of entry VMs to control VMs are lost, and the first connection was tried again only after the whole dial timeout of 300 ms. Without the setting nothing changes.

--- a/internal/modules/peer/module.go
+++ b/internal/modules/peer/module.go
@@ -49,6 +49,7 @@
 			{Section: section, Name: "keepalive_interval", Kind: settings.KindDuration, Default: "1s", Min: 0.01, Max: 60, Help: "time between two probes of a connection"},
 			{Section: section, Name: "keepalive_timeout", Kind: settings.KindDuration, Default: "2s", Min: 0.01, Max: 60, Help: "time without an answer after which a connection is closed"},
 			{Section: section, Name: "dial_timeout", Kind: settings.KindDuration, Default: "3s", Min: 0.01, Max: 60, Help: "time limit for opening a connection; the first packet to a VM without power is lost, and is sent again only after 1s"},
+			{Section: section, Name: "first_dial_timeout", Kind: settings.KindDuration, Default: "0s", Max: 60, Help: "time limit for the first attempt to open a connection, which doubles up to dial_timeout; 0 is dial_timeout. VMs that start together after a power loss lose the first packets to each other"},
 			{Section: section, Name: "reconnect_min", Kind: settings.KindDuration, Default: "100ms", Min: 0.001, Max: 60, Help: "first wait before a new attempt to connect"},
 			{Section: section, Name: "reconnect_max", Kind: settings.KindDuration, Default: "3s", Min: 0.001, Max: 600, Help: "longest wait before a new attempt to connect"},
 			{Section: section, Name: "send_queue", Kind: settings.KindInt, Default: "1024", Min: 1, Max: 1 << 20, Help: "maximum number of messages that wait to be sent to each peer"},
@@ -63,6 +64,7 @@
 	listen            string
 	keepaliveInterval time.Duration
 	keepaliveTimeout  time.Duration
+	firstDialTimeout  time.Duration
 	dialTimeout       time.Duration
 	reconnectMin      time.Duration
 	reconnectMax      time.Duration
@@ -112,6 +114,10 @@
 		maxConnections:    s.Int(section, "max_connections"),
 		callsPerPeer:      streamsPerConnection - 1, // One stream is reserved for the messages of Send.
 	}
+	m.opts.firstDialTimeout = min(s.Duration(section, "first_dial_timeout"), m.opts.dialTimeout)
+	if m.opts.firstDialTimeout == 0 {
+		m.opts.firstDialTimeout = m.opts.dialTimeout
+	}
 	m.opts.helloTimeout = m.opts.keepaliveInterval + m.opts.keepaliveTimeout
 	m.logger, m.scope = ctx.Logger("peer"), ctx.Scope("peer")
 	m.dropped, m.received, m.sent = m.scope.Counter("messages_dropped"), m.scope.Counter("messages_received"), m.scope.Counter("messages_sent")
--- a/internal/modules/peer/outgoing.go
+++ b/internal/modules/peer/outgoing.go
@@ -57,10 +57,11 @@
 
 // keepConnected keeps one connection open, and reconnects when it ends, until the module stops.
 func (p *peer) keepConnected() {
-	backoff := p.module.opts.reconnectMin
+	backoff, dialTimeout := p.module.opts.reconnectMin, p.module.opts.firstDialTimeout
 	for {
-		c, err := p.connect()
+		c, err := p.connect(dialTimeout)
 		if err == nil {
+			dialTimeout = p.module.opts.firstDialTimeout
 			connected := time.Now()
 			p.serve(c)
 			// A connection that was lost again shortly after it was accepted does not reset the backoff.
@@ -76,14 +77,20 @@
 		case <-time.After(jitter(p.random, backoff)):
 		}
 		backoff = min(2*backoff, p.module.opts.reconnectMax)
+		if err != nil {
+			dialTimeout = p.module.opts.nextDialTimeout(dialTimeout)
+		}
 	}
 }
 
+// nextDialTimeout returns the time limit of the attempt to connect that follows a failed one.
+func (o *options) nextDialTimeout(failed time.Duration) time.Duration { return min(2*failed, o.dialTimeout) }
+
 // connect dials the peer and exchanges hellos.
-func (p *peer) connect() (*connection, error) {
+func (p *peer) connect(dialTimeout time.Duration) (*connection, error) {
 	ctx, cancel := context.WithTimeout(p.module.runCtx, p.module.opts.helloTimeout)
 	defer cancel()
-	d := net.Dialer{Timeout: p.module.opts.dialTimeout}
+	d := net.Dialer{Timeout: dialTimeout}
 	dialed, err := d.DialContext(ctx, "tcp", p.config.Addr)
 	if err != nil {
 		return nil, err
