Add the decisions on allowances over all VMs

Cause: quotas of customers, extra attempts and requests to cold leaves are limited over all VMs, and no VM sees all of them. Change: internal/allowance has the buckets of a zone's owner, which borrow from other zones, and the state of a VM that asks. An owner that is not the first connected one of its zone is not refilled, but borrows from the first; an owner that was frozen is not refilled for that time. Without these two rules two owners would double the rate of their zone. No module uses the package yet.

--- /dev/null
+++ b/internal/allowance/allowance_test.go
@@ -0,0 +1,314 @@
+package allowance
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chestnuttiller/chestnuttiller/internal/model"
+)
+
+var (
+	start     = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	testZones = []model.AvailabilityZone{"az-1", "az-2", "az-3"}
+	testKey   = Key{KindCustomer, "c"}
+)
+
+func random() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// askOne asks for n units with all lenders counted as unreachable.
+func askOne(o *Owner, now time.Time, l Limit, n int) bool {
+	var out Effects
+	o.Ask(now, Ask{1, testKey, l, n}, false, &out)
+	for _, b := range out.Borrows {
+		o.Lent(now, b, 0, false, &out)
+	}
+	return out.Replies[0].Answer.Granted
+}
+
+// tickTo calls Tick as often as the module does.
+func tickTo(o *Owner, from, to time.Time) {
+	var out Effects
+	for t := from; t.Before(to); t = t.Add(MaxGap / 2) {
+		o.Tick(t, &out)
+	}
+	o.Tick(to, &out)
+}
+
+// Guards against an owner that has just taken over and grants a burst that its predecessor has granted already.
+func TestNewBucketBeginsWithItsPartOfTheSlackOnly(t *testing.T) {
+	o := NewOwner(start, "az-1", testZones, random())
+	l := Limit{Rate: 30, Burst: 300, Slack: 24, Version: 1}
+	granted := 0
+	for range 200 {
+		if askOne(o, start, l, 1) {
+			granted++
+		}
+	}
+	require.Equal(t, 4, granted)
+	tickTo(o, start, start.Add(time.Minute))
+	granted = 0
+	for range 300 {
+		if askOne(o, start.Add(time.Minute), l, 1) {
+			granted++
+		}
+	}
+	require.Equal(t, 104, granted, "a third of the burst and of half of the slack")
+}
+
+// Guards against a limit so small that no zone's bucket ever holds a unit, such as that of a cold leaf.
+func TestSmallLimitStillGrants(t *testing.T) {
+	o := NewOwner(start, "az-1", testZones, random())
+	l := Limit{Rate: 3, Slack: 0, Version: 1}
+	require.False(t, askOne(o, start, l, 1))
+	tickTo(o, start, start.Add(2*time.Second))
+	require.True(t, askOne(o, start.Add(2*time.Second), l, 1))
+	require.False(t, askOne(o, start.Add(2*time.Second), l, 1))
+}
+
+// Guards against a lowered limit that is paid back as a debt, one that does not bind at once, and an older table that undoes it.
+func TestLoweredLimitCutsTheBucket(t *testing.T) {
+	o := NewOwner(start, "az-1", testZones, random())
+	high := Limit{Rate: 300, Burst: 300, Slack: 6, Version: 1}
+	low := Limit{Rate: 3, Burst: 6, Slack: 6, Version: 2}
+	require.True(t, askOne(o, start, high, 1))
+	now := start.Add(10 * time.Second)
+	tickTo(o, start, now)
+	granted := 0
+	for i := range 50 {
+		l := low
+		if i%2 == 1 {
+			l = high // Other VMs have the older table.
+		}
+		if askOne(o, now, l, 1) {
+			granted++
+		}
+	}
+	require.Equal(t, 3, granted)
+	tickTo(o, now, now.Add(time.Second))
+	require.True(t, askOne(o, now.Add(time.Second), low, 1), "no debt is left")
+}
+
+// Guards against units that are granted twice when they move between zones, and against a lender that gives all it has.
+func TestUnitsAreMovedBetweenZones(t *testing.T) {
+	l := Limit{Rate: 3, Slack: 24, Version: 1}
+	borrower, lender := NewOwner(start, "az-1", testZones, random()), NewOwner(start, "az-2", testZones, random())
+	granted, lent := 0, 0.0
+	for range 40 {
+		var out Effects
+		borrower.Ask(start, Ask{1, testKey, l, 1}, false, &out)
+		for i := 0; i < len(out.Borrows); i++ {
+			b := out.Borrows[i]
+			if b.Zone != "az-2" {
+				borrower.Lent(start, b, 0, false, &out)
+				continue
+			}
+			before := lender.Lend(start, testKey, l, 0, false)
+			require.Zero(t, before)
+			units := lender.Lend(start, testKey, l, b.Units, false)
+			require.LessOrEqual(t, units, 2.0)
+			lent += units
+			borrower.Lent(start, b, units, true, &out)
+		}
+		for _, r := range out.Replies {
+			if r.Answer.Granted {
+				granted++
+			}
+		}
+	}
+	require.LessOrEqual(t, float64(granted), 4+lent)
+	require.Greater(t, granted, 4)
+	require.Less(t, lent, 4.0)
+}
+
+// Guards against asks that wait for a zone that does not answer, and against a zone that is asked again and again.
+func TestUnreachableZoneDelaysAnAskOnce(t *testing.T) {
+	o := NewOwner(start, "az-1", testZones, random())
+	l := Limit{Rate: 0.3, Slack: 0, Version: 1}
+	var out Effects
+	o.Ask(start, Ask{1, testKey, l, 1}, false, &out)
+	require.Len(t, out.Borrows, 2)
+	require.Empty(t, out.Replies)
+	borrows := out.Borrows
+	out = Effects{}
+	o.Tick(start.Add(BorrowWait), &out)
+	require.Len(t, out.Replies, 1)
+	require.False(t, out.Replies[0].Answer.Granted)
+	for _, b := range borrows {
+		o.Lent(start.Add(BorrowWait), b, 0, false, &out)
+	}
+	out = Effects{}
+	o.Ask(start.Add(100*time.Millisecond), Ask{2, testKey, l, 1}, false, &out)
+	require.Empty(t, out.Borrows)
+	require.Len(t, out.Replies, 1, "denied at once")
+	out = Effects{}
+	o.Ask(start.Add(1100*time.Millisecond), Ask{3, testKey, l, 1}, false, &out)
+	require.Len(t, out.Borrows, 2)
+}
+
+// Guards against a customer above its limit that makes owners exchange messages for each of its requests.
+func TestZoneWithoutUnitsIsAskedLessAndLess(t *testing.T) {
+	o := NewOwner(start, "az-1", testZones, random())
+	l := Limit{Rate: 30, Version: 1}
+	borrows := 0
+	for i := range 1000 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		var out Effects
+		o.Ask(now, Ask{uint64(i), testKey, l, 1}, false, &out)
+		borrows += len(out.Borrows)
+		for j := 0; j < len(out.Borrows); j++ {
+			o.Lent(now, out.Borrows[j], 0, true, &out)
+		}
+	}
+	require.Less(t, borrows, 60, "in 10 s from two zones")
+}
+
+// Guards against denied callers that all come back at the same time.
+func TestRetryTimesAreSpread(t *testing.T) {
+	o := NewOwner(start, "az-1", testZones, random())
+	l := Limit{Rate: 30, Version: 1}
+	seen := map[time.Duration]bool{}
+	for range 300 {
+		var out Effects
+		o.Ask(start, Ask{1, testKey, l, 1}, false, &out)
+		for _, b := range out.Borrows {
+			o.Lent(start, b, 0, false, &out)
+		}
+		after := out.Replies[0].Answer.RetryAfter
+		require.Positive(t, after)
+		require.LessOrEqual(t, after, maxRetryAfter)
+		seen[after] = true
+	}
+	require.Greater(t, len(seen), 290)
+}
+
+// Guards against an owner that was frozen and refills its buckets for the time in which another one granted the zone's units.
+func TestFrozenOwnerIsNotRefilled(t *testing.T) {
+	o := NewOwner(start, "az-1", testZones, random())
+	l := Limit{Rate: 30, Burst: 3000, Slack: 6, Version: 1}
+	require.True(t, askOne(o, start, l, 1))
+	require.False(t, askOne(o, start.Add(time.Minute), l, 2))
+}
+
+// Guards against two owners of a zone that both refill their buckets, as while one of them is slow for some VMs.
+func TestStandInIsNotRefilledButBorrows(t *testing.T) {
+	o := NewOwner(start, "az-1", testZones, random())
+	l := Limit{Rate: 300, Slack: 6, Version: 1}
+	var out Effects
+	o.Ask(start, Ask{1, testKey, l, 1}, true, &out)
+	require.True(t, out.Replies[0].Answer.Granted)
+	for _, b := range out.Borrows {
+		o.Lent(start, b, 0, true, &out)
+	}
+	now := start.Add(time.Second)
+	tickTo(o, start, now)
+	out = Effects{}
+	o.Ask(now, Ask{2, testKey, l, 1}, true, &out)
+	require.Empty(t, out.Replies)
+	require.Len(t, out.Borrows, 3)
+	require.Equal(t, model.AvailabilityZone("az-1"), out.Borrows[0].Zone)
+	o.Lent(now, out.Borrows[0], 1, true, &out)
+	require.True(t, out.Replies[0].Answer.Granted)
+}
+
+// Guards against more keys than an owner has room for, and against room that is made by forgetting what was granted.
+func TestKeysAreLimitedAndOnlyFullBucketsAreRemoved(t *testing.T) {
+	o := NewOwner(start, "az-1", testZones, random())
+	l := Limit{Rate: 3, Slack: 24, Version: 1}
+	ask := func(now time.Time, name string) bool {
+		var out Effects
+		o.Ask(now, Ask{1, Key{KindCustomer, name}, l, 4}, false, &out)
+		for _, b := range out.Borrows {
+			o.Lent(now, b, 0, false, &out)
+		}
+		return out.Replies[0].Answer.Granted
+	}
+	for i := range MaxKeys {
+		require.True(t, ask(start, string(rune(i+0x10000))))
+	}
+	require.False(t, ask(start, "one more"))
+	require.Equal(t, MaxKeys, o.Keys())
+	now := start.Add(10 * time.Second)
+	tickTo(o, start, now)
+	require.True(t, ask(now, "one more"))
+	require.Equal(t, uint64(1), o.Counts().Full)
+}
+
+// Guards against a malformed or hostile number of units from another VM.
+func TestMalformedUnitsAreIgnored(t *testing.T) {
+	o := NewOwner(start, "az-1", testZones, random())
+	l := Limit{Rate: 3, Slack: 24, Version: 1}
+	var out Effects
+	nan := 0.0
+	nan /= nan
+	for _, units := range []float64{-5, 1e9, nan} {
+		o.Lent(start, Borrow{"az-2", testKey, l, 1}, units, true, &out)
+		require.LessOrEqual(t, o.Lend(start, testKey, l, units, false), 4.0)
+	}
+	require.False(t, askOne(o, start, l, 5))
+}
+
+// Guards against a slow owner that is asked by each request, and a VM that asks no other one.
+func TestSlowOwnerIsPassedOver(t *testing.T) {
+	a := NewAsker(3, random())
+	owners := []model.VMName{"a", "b", "c"}
+	all := func(model.VMName) bool { return true }
+	first, ok := a.OwnerOf(start, testKey, owners, all)
+	require.True(t, ok)
+	a.TimedOut(start, first)
+	second, ok := a.OwnerOf(start, testKey, owners, all)
+	require.True(t, ok)
+	require.Equal(t, Order(testKey, owners)[1], second)
+	again, _ := a.OwnerOf(start.Add(ownerPause), testKey, owners, all)
+	require.Equal(t, first, again)
+	_, ok = a.OwnerOf(start, testKey, owners, func(model.VMName) bool { return false })
+	require.False(t, ok)
+}
+
+// Guards against a VM that asks the owner for each request of a customer above its limit, and one that denies for too long.
+func TestDenialIsRemembered(t *testing.T) {
+	a := NewAsker(3, random())
+	l := Limit{Rate: 3, Version: 1}
+	a.Answered(start, testKey, l, Answer{RetryAfter: time.Hour})
+	first, decided := a.Take(start, testKey, l, 1)
+	require.True(t, decided)
+	second, _ := a.Take(start, testKey, l, 1)
+	require.NotEqual(t, first.RetryAfter, second.RetryAfter)
+	_, decided = a.Take(start.Add(maxDenialMemory), testKey, l, 1)
+	require.False(t, decided)
+	l.Version++
+	_, decided = a.Take(start, testKey, l, 1)
+	require.False(t, decided, "the limit has changed")
+}
+
+// Guards against VMs without an owner that use more than their part of the slack together.
+func TestLocalSlicesKeepToTheirSum(t *testing.T) {
+	const vms = 66
+	l := Limit{Rate: 3, Slack: 24, Version: 1}
+	r, granted := random(), 0
+	for range vms {
+		a := NewAsker(3, r)
+		for i := range 50 {
+			if a.Local(start.Add(time.Duration(i)*100*time.Millisecond), testKey, l, 1, vms).Granted {
+				granted++
+			}
+		}
+	}
+	require.InDelta(t, localSlackPart*l.Slack, granted, 6)
+}
+
+// Guards against returned units that are lost or used twice.
+func TestReturnedUnitsAreUsedOnceOrGoBack(t *testing.T) {
+	a := NewAsker(3, random())
+	l := Limit{Rate: 3, Version: 1}
+	a.Take(start, testKey, l, 1)
+	a.Return(start, testKey, 2)
+	answer, decided := a.Take(start, testKey, l, 1)
+	require.True(t, decided && answer.Granted)
+	require.Equal(t, []Refund{{testKey, 1}}, a.Expired(start.Add(returnExpiry)))
+	require.Empty(t, a.Expired(start.Add(returnExpiry)))
+	_, decided = a.Take(start.Add(returnExpiry), testKey, l, 1)
+	require.False(t, decided)
+}
