Let entry VMs keep allowances for their zones

Cause: internal/allowance had no module that sends its messages, and nobody chose the owners. Change: module allowance.zones answers asks of other entry VMs of its zone, borrows from owners of other zones, and asks owners for kernel.Allowances. Control VMs choose the owners among the entry VMs that state their zone in watch requests, and send the lists with the answers of the primary control VM.

--- a/internal/kernel/interfaces.go
+++ b/internal/kernel/interfaces.go
@@ -298,6 +298,12 @@
 	Return(key allowance.Key, n int)
 }
 
+// AllowanceBatches is implemented by providers of Allowances that decide on several asks with few messages.
+type AllowanceBatches interface {
+	// TakeAll is like Allowances.Take for several asks at once. Their IDs are not used.
+	TakeAll(ctx context.Context, asks []allowance.Ask) []allowance.Answer
+}
+
 // RoutePublisher puts route tables into force, on control VMs.
 type RoutePublisher interface {
 	// Publish returns once the table, or one with a higher version, is committed, and returns the version in
--- a/internal/modules/all/all.go
+++ b/internal/modules/all/all.go
@@ -3,6 +3,7 @@
 
 import (
 	_ "github.com/chestnuttiller/chestnuttiller/internal/modules/admission"
+	_ "github.com/chestnuttiller/chestnuttiller/internal/modules/allowances"
 	_ "github.com/chestnuttiller/chestnuttiller/internal/modules/announce"
 	_ "github.com/chestnuttiller/chestnuttiller/internal/modules/claims"
 	_ "github.com/chestnuttiller/chestnuttiller/internal/modules/controlclient"
--- a/internal/modules/membership/codec.go
+++ b/internal/modules/membership/codec.go
@@ -102,6 +102,7 @@
 	if u.outliers, err = outliersFromProto(reply.GetTrouble()); err != nil {
 		return update{}, err
 	}
+	u.owners, u.ownersDigest = ownersFromProto(reply.GetOwners()), reply.GetOwners().GetDigest()
 	for _, vm := range reply.GetControlVms() {
 		u.controlVMs = append(u.controlVMs, model.VMName(vm))
 	}
--- a/internal/modules/membership/module.go
+++ b/internal/modules/membership/module.go
@@ -153,6 +153,7 @@
 	entryVMs       int
 	state          kernel.RouteState
 	outlierPool    outlierPool
+	owners         allowanceOwners
 	// newest holds the records of which index was built. leaving holds the incarnations that have replied to this VM that
 	// they are leaving, and when a control VM last listed them.
 	newest map[string]leaves.Leaf
@@ -354,6 +355,7 @@
 			_ = level.Info(m.logger).Log("msg", "entry VM has stopped sending watch requests and is no longer counted", "entry_vm", vm, "entry_vms", len(m.entryLastWatch))
 		}
 	}
+	m.updateOwners(now)
 	if version, entryVMs := m.table.Version(), m.entryVMCount(now); version != m.cachedVersion || entryVMs != m.cachedEntryVMs {
 		if list, _ := m.table.ChangesSince(0); m.cache.enqueue(cachedState{list, entryVMs}) {
 			m.cachedVersion, m.cachedEntryVMs = version, entryVMs
@@ -369,4 +371,5 @@
 // ContributeView implements kernel.ViewContributor.
 func (m *Module) ContributeView(_ time.Time, v *kernel.View) {
 	v.Routes, v.Leaves, v.EntryVMs, v.LeafOutliers = m.routes, m.index, m.entryVMs, m.outlierPool.inForce
+	m.contributeOwners(v)
 }
--- a/internal/modules/membership/updates.go
+++ b/internal/modules/membership/updates.go
@@ -33,6 +33,9 @@
 	outliersRequested, outliersIncluded bool
 	outliers                            leaves.Outliers
 	evidence                            []leaves.Evidence
+	// owners is nil if the answer contains no owners of allowances.
+	owners       ownerLists
+	ownersDigest uint64
 	// light reports whether the request was for neither leaves nor routes.
 	light bool
 }
@@ -69,6 +72,7 @@
 		return
 	}
 	m.applyOutliers(now)
+	m.applyOwners(ev.from, ev.update.owners, ev.update.ownersDigest)
 	if !ev.update.light {
 		s.remoteTable.Apply(ev.update.leaves, ev.update.complete)
 	}
--- a/internal/modules/membership/watch.go
+++ b/internal/modules/membership/watch.go
@@ -40,6 +40,7 @@
 		if v := m.control.View().Routes; v != nil {
 			req.RoutesVersion = uint64(v.Version)
 		}
+		m.requestOwners(vm, req)
 		u, err := m.sendWatch(runCtx, vm, s, req, hold+watchMargin)
 		if err != nil && s.full.Load() == light {
 			continue // The request was ended because leaves and routes are to be requested from this control VM now.
@@ -112,6 +113,7 @@
 		err := m.control.Do(ctx, func(now time.Time) {
 			if !req.GetControl() {
 				m.entryLastWatch[from] = now
+				m.owners.noteZone(from, req.GetAvailabilityZone())
 			}
 			reply, changed = m.updateFor(now, &req, last), m.changed
 			if req.GetTrouble() {
@@ -155,7 +157,7 @@
 	}
 	newOutliers := req.GetTrouble() && (!sameIncarnation || req.GetTroubleVersion() != outlierVersion)
 	// The first light watch request is answered immediately, so that the sender detects that this VM responds.
-	hasUpdate := newRoutes || !sameIncarnation || newOutliers || !req.GetLight() && tableVersion != m.table.Version()
+	hasUpdate := newRoutes || m.newOwners(req) || !sameIncarnation || newOutliers || !req.GetLight() && tableVersion != m.table.Version()
 	if !always && !hasUpdate {
 		return nil
 	}
@@ -174,6 +176,9 @@
 	case newOutliers:
 		reply.Trouble = outliersToProto(m.outlierPool.inForce)
 	}
+	if m.newOwners(req) {
+		reply.Owners = m.owners.toProto()
+	}
 	for i := range list {
 		reply.Leaves = append(reply.Leaves, leafToProto(&list[i]))
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -297,6 +297,13 @@
 	return Peer{Name: vm, Addr: net.JoinHostPort(string(vm), s.String("discovery", "peer_port")), Roles: []string{RoleControl}}
 }
 
+// EntryPeer returns the peer of a discovered entry VM.
+func (s *Settings) EntryPeer(vm model.VMName) Peer {
+	p := s.ControlPeer(vm)
+	p.Roles = []string{RoleEntry}
+	return p
+}
+
 // check returns an error if a value does not fit the key.
 func (k Key) check(v string) error {
 	var number float64
