Limit requests to cold leaves, and let zones grant extra attempts

Cause: a cold leaf may get only a number of requests a second from all VMs together, and the pools of control VMs for extra attempts divide the pooled slack among control VMs. Change: forward.routes takes a unit of a leaf's allowance before an attempt at a cold leaf with a limit; until it is granted the leaf counts as having no connection. With [forward] repeat_pool = zones the owners of allowances grant extra attempts; the default stays control. Nothing changes where [vm] zone_regions is not set.

--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/chestnuttiller/chestnuttiller/internal/allowance"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
 )
 
@@ -139,3 +140,19 @@
 		s.granted++ // The earlier end applies to all.
 	}
 }
+
+const (
+	// zonePoolBurst is the part of the pool that may be granted at once, and zonePoolSlack the part that pays for owners that take over
+	// and for VMs without an owner. They use up to zonePoolSlackUse of the latter. The rest is granted at an even rate.
+	zonePoolBurst    = 0.5
+	zonePoolSlack    = 0.125
+	zonePoolSlackUse = 1.25
+)
+
+// ZonePoolLimit returns the allowance of the extra attempts at a service beyond the budgets of the VMs, where allowances take the place
+// of the pools of control VMs. Any window holds at most PooledShare of the slack.
+func ZonePoolLimit(slack int, window time.Duration) allowance.Limit {
+	pool := BudgetSafety * PooledShare * float64(slack)
+	rate := pool * (1 - zonePoolBurst - zonePoolSlackUse*zonePoolSlack) / (window + GrantExpiry).Seconds()
+	return allowance.Limit{Rate: rate, Burst: zonePoolBurst * pool, Slack: zonePoolSlack * pool}
+}
--- a/internal/modules/forwarder/module.go
+++ b/internal/modules/forwarder/module.go
@@ -33,7 +33,7 @@
 		ID:       "forward.routes",
 		New:      func() kernel.Module { return &Module{} },
 		Needs:    []kernel.Capability{kernel.CapLog, kernel.CapLeafTransport, kernel.CapLeafReporter},
-		Wants:    []kernel.Capability{kernel.CapMetrics, kernel.CapExtraGranter},
+		Wants:    []kernel.Capability{kernel.CapMetrics, kernel.CapExtraGranter, kernel.CapAllowances},
 		Provides: []kernel.Capability{kernel.CapForwarder},
 		Enabled:  kernel.ForRoutes(settings.RoleEntry),
 		Settings: []settings.Key{
@@ -44,6 +44,8 @@
 			{Section: section, Name: "repeat_slack", Kind: settings.KindInt, Default: "50", Max: 1000000, Help: "extra attempts that are allowed in addition to the share"},
 			{Section: section, Name: "repeat_window", Kind: settings.KindDuration, Default: "10s", Min: 1, Max: 600, Help: "time over which extra attempts are counted"},
 			{Section: section, Name: "repeat_pooled", Kind: settings.KindBool, Default: "false", Help: "whether control VMs grant a part of repeat_slack on request, so that a VM can use more than an equal share; their section membership needs the same repeat_slack"},
+			{Section: section, Name: "repeat_pool", Default: poolControl, Choices: []string{poolControl, poolZones}, Help: "with repeat_pooled, whether control VMs or the allowances of the availability zones grant the pooled part"},
+			{Section: section, Name: "warmup_slack", Kind: settings.KindFloat, Default: "5", Max: 1000000, Help: "requests that a cold leaf may get in a second in addition to 1.5 times its warm-up rate; where [vm] zone_regions is set"},
 		},
 	})
 }
@@ -71,7 +73,8 @@
 	mu      sync.Mutex
 	tracker *forward.Tracker
 	budgets map[model.ServiceName]*forward.Budget
-	// granter is nil unless control VMs grant a part of the slack. grants holds what they have granted.
+	cold    coldLeaves
+	// granter is nil unless control VMs or owners of allowances grant a part of the slack. grants holds what they have granted.
 	granter kernel.ExtraGranter
 	grants  *forward.GrantBook
 	random  *rand.Rand
@@ -109,11 +112,12 @@
 	if s.Bool(section, "repeat_pooled") {
 		m.limits.Slack *= 1 - forward.PooledShare
 		var err error
-		if m.granter, err = kernel.Lookup[kernel.ExtraGranter](ctx); err != nil {
+		if m.granter, err = newGranter(ctx); err != nil {
 			return err
 		}
 	}
 	m.grants = forward.NewGrantBook()
+	m.cold.provision(ctx, s)
 	m.random = ctx.Random()
 	m.tracker = forward.NewTracker(forward.TrackerOptions{Zone: ctx.AvailabilityZone, HedgeQuantile: s.Float(section, "hedge_quantile")}, ctx.Random())
 	m.budgets = map[model.ServiceName]*forward.Budget{}
@@ -194,6 +198,9 @@
 	if now.Sub(m.prunedAt) > pruneInterval {
 		m.prunedAt = now
 		m.tracker.Prune(now.Add(-pruneAfter))
+		if m.cold.book != nil {
+			m.cold.book.Prune(now.Add(-pruneAfter))
+		}
 	}
 }
 
--- a/internal/modules/forwarder/runner.go
+++ b/internal/modules/forwarder/runner.go
@@ -32,8 +32,11 @@
 	// waiting lists the services in whose queues the request is.
 	waiting []model.ServiceName
 	// wanted lists the services at which the current step needs extra attempts beyond the budget of this VM.
-	wanted   []model.ServiceName
-	attempts []*attempt
+	wanted []model.ServiceName
+	// reserved lists the cold leaves for which the current step has taken a unit, and wantedUnits those for which it needs one.
+	reserved    []*leaves.Member
+	wantedUnits []coldUnit
+	attempts    []*attempt
 }
 
 // attempt is one attempt that was passed to the transport. Only cancelled, withdrawn and ended change later; ended is used on the
@@ -95,6 +98,7 @@
 		}
 		now := r.module.now()
 		sends, response, wake := r.state.Step(now)
+		r.settleUnits(now, sends)
 		if response != nil {
 			r.withdrawExtras(now)
 			r.cancelPending(cancelDelay)
@@ -235,7 +239,13 @@
 	list, outliers := m.members(service), m.control.View().LeafOutliers
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.tracker.Choose(now, r.route.Name, list, tried, outliers, m.transport)
+	for {
+		leaf := m.tracker.Choose(now, r.route.Name, list, tried, outliers, m.transport)
+		if leaf == nil || r.reserveUnit(now, leaf) {
+			return leaf
+		}
+		tried = append(slices.Clip(tried), leaf) // A cold leaf without a unit counts as having no connection.
+	}
 }
 
 // HasUntried implements forward.Env.
