Disconnect from entry VMs that no longer own allowances

Cause: a VM that was an owner and is gone was dialled twice a second for ever, with a log line each time. Change: peers that were added can be removed again; allowance.zones removes those that are not in the lists any more.

--- a/internal/kernel/interfaces.go
+++ b/internal/kernel/interfaces.go
@@ -207,6 +207,12 @@
 	OnChange(fn func(PeerStatus))
 }
 
+// PeerRemover is implemented by a PeerTransport whose discovered VMs can be removed again.
+type PeerRemover interface {
+	// RemovePeer closes the connection to a VM that AddPeer added. It does nothing for other VMs that are no peers.
+	RemovePeer(vm model.VMName)
+}
+
 // StateMachine is the state that the control log replicates. All methods run on the control goroutine of a control VM,
 // and Apply is deterministic: the same entries give the same state on every VM.
 type StateMachine interface {
--- a/internal/modules/allowances/module.go
+++ b/internal/modules/allowances/module.go
@@ -56,8 +56,10 @@
 	entry   func(model.VMName) settings.Peer
 	logger  log.Logger
 	metrics metrics
-	runCtx  context.Context
-	cancel  context.CancelFunc
+	// added holds the VMs that this module has added as peers. It belongs to the goroutine that follows views.
+	added  map[model.VMName]bool
+	runCtx context.Context
+	cancel context.CancelFunc
 
 	mu        sync.Mutex
 	owner     *allowance.Owner
@@ -108,7 +110,7 @@
 	m.owner = allowance.NewOwner(ctx.Now(), m.zone, zones, ctx.Random())
 	m.asker = allowance.NewAsker(len(zones), ctx.Random())
 	m.connected, m.outgoing, m.slots = map[model.VMName]bool{}, map[model.VMName]*outgoing{}, map[uint64]slot{}
-	m.loggedAt = map[string]time.Time{}
+	m.loggedAt, m.added = map[string]time.Time{}, map[model.VMName]bool{}
 	var err error
 	if m.peers, err = kernel.Lookup[kernel.PeerTransport](ctx); err != nil {
 		return err
@@ -159,19 +161,39 @@
 	}
 }
 
-// connect opens connections to the owners of this zone and, if this VM is one of them, to those of the other zones.
+// connect opens connections to the owners of this zone and, if this VM is one of them, to those of the other zones. It ends those to
+// VMs that are no longer needed, which would otherwise be tried for ever. It is called on the goroutine that follows views.
 func (m *Module) connect(owners map[model.AvailabilityZone][]model.VMName) {
 	isOwner := slices.Contains(owners[m.zone], m.self)
+	needed := map[model.VMName]bool{}
 	for zone, list := range owners {
 		for _, vm := range list {
 			if vm != m.self && (zone == m.zone || isOwner) {
-				m.peers.AddPeer(m.entry(vm))
+				needed[vm] = true
 			}
 		}
 	}
+	remover, canRemove := m.peers.(kernel.PeerRemover)
+	for vm := range m.added {
+		if !needed[vm] && canRemove {
+			remover.RemovePeer(vm)
+			delete(m.added, vm)
+		}
+	}
+	for vm := range needed {
+		if !m.added[vm] && !m.isPeer(vm) {
+			m.peers.AddPeer(m.entry(vm))
+			m.added[vm] = true
+		}
+	}
 	m.updateConnected()
 }
 
+// isPeer reports whether a VM is a peer already, such as one that the settings list. Such a VM is not removed.
+func (m *Module) isPeer(vm model.VMName) bool {
+	return slices.ContainsFunc(m.peers.Peers(), func(p kernel.PeerStatus) bool { return p.VM == vm })
+}
+
 // tick calls the periodic parts of the owner and of the asking VM.
 func (m *Module) tick() {
 	t := time.NewTicker(tickInterval)
--- a/internal/modules/peer/module.go
+++ b/internal/modules/peer/module.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -142,7 +143,29 @@
 	m.peerList = append(m.peerList, added)
 	if m.runCtx != nil && m.runCtx.Err() == nil {
 		_ = level.Info(m.logger).Log("msg", "VM discovered", "peer", p.Name, "address", p.Addr)
-		m.spawn(added.keepConnected)
+		m.startPeer(added)
+	}
+}
+
+// startPeer keeps a VM connected until it is removed or the module stops. The caller holds the lock.
+func (m *Module) startPeer(p *peer) {
+	p.ctx, p.stop = context.WithCancel(m.runCtx)
+	m.spawn(p.keepConnected)
+}
+
+// RemovePeer implements kernel.PeerRemover.
+func (m *Module) RemovePeer(vm model.VMName) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[vm]
+	if p == nil {
+		return
+	}
+	delete(m.peers, vm)
+	m.peerList = slices.DeleteFunc(slices.Clone(m.peerList), func(other *peer) bool { return other == p })
+	if p.stop != nil {
+		p.stop()
+		_ = level.Info(m.logger).Log("msg", "VM is no longer a peer", "peer", vm)
 	}
 }
 
@@ -188,7 +211,7 @@
 	m.spawn(m.accept)
 	m.spawn(func() { m.changes.run(m.runCtx) })
 	for _, p := range m.peerList {
-		m.spawn(p.keepConnected)
+		m.startPeer(p)
 	}
 	return nil
 }
--- a/internal/modules/peer/module_test.go
+++ b/internal/modules/peer/module_test.go
@@ -274,3 +274,16 @@
 	require.NoError(t, err)
 	require.NoError(t, proto.Unmarshal(body, m))
 }
+
+// Guards against a VM that tries for ever to connect to one that is no longer needed, and against one that cannot be added again.
+func TestRemovedPeerIsNotConnectedAgain(t *testing.T) {
+	first, second, address := startPair(t, nil)
+	first.PeerTransport.(kernel.PeerRemover).RemovePeer("vm-2")
+	require.Empty(t, first.Peers())
+	require.Eventually(t, first.logs(t, "VM disconnected"), testTimeout, time.Millisecond)
+	time.Sleep(200 * time.Millisecond) // Several times the longest wait before a new attempt to connect.
+	require.Empty(t, first.Peers())
+	require.True(t, second.connected(), "the connection of the other VM is its own")
+	first.AddPeer(settings.Peer{Name: "vm-2", Addr: address})
+	require.Eventually(t, first.connected, testTimeout, time.Millisecond)
+}
--- a/internal/modules/peer/outgoing.go
+++ b/internal/modules/peer/outgoing.go
@@ -25,6 +25,9 @@
 	config settings.Peer
 	random *rand.Rand
 	logger log.Logger
+	// ctx ends when the module stops or the VM is no longer a peer. stop ends it. Both are set once the module runs.
+	ctx  context.Context
+	stop context.CancelFunc
 	// connection is the current one, or nil while the VM is not connected.
 	connection atomic.Pointer[connection]
 }
@@ -67,11 +70,11 @@
 			if time.Since(connected) > p.module.opts.reconnectMax {
 				backoff = p.module.opts.reconnectMin
 			}
-		} else if p.module.runCtx.Err() == nil {
+		} else if p.ctx.Err() == nil {
 			_ = level.Info(p.logger).Log("msg", "cannot connect to the VM", "address", p.config.Addr, "retry_within", backoff, "err", err)
 		}
 		select {
-		case <-p.module.runCtx.Done():
+		case <-p.ctx.Done():
 			return
 		case <-time.After(jitter(p.random, backoff)):
 		}
@@ -81,7 +84,7 @@
 
 // connect dials the peer and exchanges hellos.
 func (p *peer) connect() (*connection, error) {
-	ctx, cancel := context.WithTimeout(p.module.runCtx, p.module.opts.helloTimeout)
+	ctx, cancel := context.WithTimeout(p.ctx, p.module.opts.helloTimeout)
 	defer cancel()
 	d := net.Dialer{Timeout: p.module.opts.dialTimeout}
 	dialed, err := d.DialContext(ctx, "tcp", p.config.Addr)
@@ -145,7 +148,7 @@
 		_ = c.session.Close() // The connection is discarded, so a failed close does not matter.
 	case <-c.session.CloseChan():
 		err = <-sent
-	case <-p.module.runCtx.Done():
+	case <-p.ctx.Done():
 		_ = c.session.Close() // The connection is discarded, so a failed close does not matter.
 		err = <-sent
 	}
