Make the comparison of allowances reproducible and shorter

An owner without room searched all its buckets for each new key. Before the number of entry VMs is known, local slices of a system with more than 64 of them added up to more than the slack.

--- a/internal/allowance/asker.go
+++ b/internal/allowance/asker.go
@@ -61,9 +61,6 @@
 func (a *Asker) entry(now time.Time, key Key, l Limit) *askerEntry {
 	e := a.entries[key]
 	if e == nil {
-		if len(a.entries) >= maxAskerKeys {
-			a.prune(now)
-		}
 		e = &askerEntry{limit: l}
 		if len(a.entries) < maxAskerKeys {
 			a.entries[key] = e
--- a/internal/allowance/owner.go
+++ b/internal/allowance/owner.go
@@ -1,7 +1,10 @@
 package allowance
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
@@ -31,6 +34,8 @@
 	maxWaiting = 256
 	// idleTime is how long a bucket is unused before it is removed.
 	idleTime = 10 * time.Minute
+	// fullPause is the shortest time between two searches for buckets to remove while there is no room, each of which reads all of them.
+	fullPause = time.Second
 	// MaxGap is the time without a call of Tick after which an owner regards itself as having been frozen. Other owners have taken
 	// its place meanwhile, so its buckets are not refilled for that time.
 	MaxGap = 500 * time.Millisecond
@@ -107,8 +112,10 @@
 	waiting     map[Key]struct{}
 	lastTick    time.Time
 	nextPrune   time.Time
-	random      *rand.Rand
-	counts      OwnerCounts
+	// prunedFull is when buckets were last removed because there was no room for another one.
+	prunedFull time.Time
+	random     *rand.Rand
+	counts     OwnerCounts
 }
 
 // NewOwner returns the owner of a zone. zones lists all zones; the limits are divided equally among them.
@@ -150,7 +157,8 @@
 func (o *Owner) bucketFor(now time.Time, key Key, l Limit, standIn bool) *bucket {
 	b := o.buckets[key]
 	if b == nil {
-		if len(o.buckets) >= MaxKeys {
+		if len(o.buckets) >= MaxKeys && now.Sub(o.prunedFull) >= fullPause {
+			o.prunedFull = now
 			o.prune(now, 0)
 		}
 		if len(o.buckets) >= MaxKeys {
@@ -345,7 +353,8 @@
 func (o *Owner) Tick(now time.Time, out *Effects) {
 	o.checkGap(now)
 	o.lastTick = now
-	for key := range o.waiting {
+	// A fixed order makes runs with the same seed agree.
+	for _, key := range slices.SortedFunc(maps.Keys(o.waiting), compareKeys) {
 		o.serveWaiting(now, key, o.buckets[key], out)
 	}
 	if !now.Before(o.nextPrune) {
@@ -354,6 +363,10 @@
 	}
 }
 
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+}
+
 // Waiting reports whether asks wait for borrowed units, so that Tick has to be called after BorrowWait.
 func (o *Owner) Waiting() bool { return len(o.waiting) > 0 }
 
--- a/internal/modules/allowances/module.go
+++ b/internal/modules/allowances/module.go
@@ -3,6 +3,7 @@
 package allowances
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -41,6 +42,10 @@
 // tickInterval is the time between two calls of Owner.Tick. It is well below allowance.MaxGap.
 const tickInterval = allowance.MaxGap / 2
 
+// assumedEntryVMs is the number of entry VMs among which local slices are divided while it is unknown. It is higher than the kernel's, so
+// that the slices of a larger system do not add up to more than its slack when all VMs start for the first time.
+const assumedEntryVMs = 64
+
 // logInterval is the shortest time between two log lines about the same kind of trouble.
 const logInterval = 5 * time.Second
 
@@ -147,7 +152,7 @@
 // applyView follows the list of owners.
 func (m *Module) applyView(v *kernel.View) {
 	m.mu.Lock()
-	m.entryVMs = v.EffectiveEntryVMs()
+	m.entryVMs = cmp.Or(v.EntryVMs, assumedEntryVMs)
 	before := m.owners
 	m.owners = v.AllowanceOwners
 	changed := !slices.Equal(before[m.zone], m.owners[m.zone])
