Join allowances over all VMs

Cause: quotas were identified and not limited, since no part kept them. VMs connect to owners, request their list and do periodic work only where the route table or the settings limit something, so that earlier deployments do not pay for it.

--- a/internal/kernel/interfaces.go
+++ b/internal/kernel/interfaces.go
@@ -207,6 +207,12 @@
 	OnChange(fn func(PeerStatus))
 }
 
+// PeerRemover is implemented by a PeerTransport whose discovered VMs can be removed again.
+type PeerRemover interface {
+	// RemovePeer closes the connection to a VM that AddPeer added. It does nothing for other VMs that are no peers.
+	RemovePeer(vm model.VMName)
+}
+
 // StateMachine is the state that the control log replicates. All methods run on the control goroutine of a control VM,
 // and Apply is deterministic: the same entries give the same state on every VM.
 type StateMachine interface {
@@ -298,6 +304,12 @@
 	Return(key allowance.Key, n int)
 }
 
+// AllowanceBatches is implemented by providers of Allowances that decide on several asks with few messages.
+type AllowanceBatches interface {
+	// TakeAll is like Allowances.Take for several asks at once. Their IDs are not used.
+	TakeAll(ctx context.Context, asks []allowance.Ask) []allowance.Answer
+}
+
 // RoutePublisher puts route tables into force, on control VMs.
 type RoutePublisher interface {
 	// Publish returns once the table, or one with a higher version, is committed, and returns the version in
--- a/internal/kernel/view.go
+++ b/internal/kernel/view.go
@@ -6,6 +6,7 @@
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
 	"github.com/chestnuttiller/chestnuttiller/internal/routes"
+	"github.com/chestnuttiller/chestnuttiller/internal/settings"
 )
 
 // View is the control state that traffic goroutines read. A view is never changed after its publication; each
@@ -84,6 +85,12 @@
 	return v.EntryVMs
 }
 
+// NeedsAllowances reports whether this VM needs the owners of allowances: for limits of the route table, or for the pool of extra
+// attempts if the settings have it kept by the availability zones.
+func (v *View) NeedsAllowances(s *settings.Settings) bool {
+	return len(s.ZoneRegions) > 0 && (s.PoolsExtrasInZones() || v.Routes != nil && v.Routes.NeedsAllowances())
+}
+
 // EachTarget calls fn for every target with a live lease. The services come in no particular order.
 func (v *View) EachTarget(fn func(*model.Target)) {
 	if v.Directory == nil {
--- a/internal/modules/forwarder/module.go
+++ b/internal/modules/forwarder/module.go
@@ -48,6 +48,8 @@
 			{Section: section, Name: "quota_window", Kind: settings.KindDuration, Default: "5s", Max: 600, Help: "time over which the requests of a customer are counted against its quota"},
 			{Section: section, Name: "quota_overage", Kind: settings.KindFloat, Default: "0.1", Max: 10, Help: "share by which the requests of a customer may exceed its quota in each window"},
 			{Section: section, Name: "quota_slack", Kind: settings.KindFloat, Default: "20", Max: 1000000, Help: "requests of a customer that are allowed in each window in addition to the share"},
+			{Section: section, Name: "repeat_pool", Default: poolControl, Choices: []string{poolControl, poolZones}, Help: "with repeat_pooled, whether control VMs or the allowances of the availability zones grant the pooled part"},
+			{Section: section, Name: "warmup_slack", Kind: settings.KindFloat, Default: "5", Max: 1000000, Help: "requests that a cold leaf may get in a second in addition to 1.5 times its warm-up rate; where [vm] zone_regions is set"},
 		},
 	})
 }
@@ -77,7 +79,8 @@
 	mu      sync.Mutex
 	tracker *forward.Tracker
 	budgets map[model.ServiceName]*forward.Budget
-	// granter is nil unless control VMs grant a part of the slack. grants holds what they have granted.
+	cold    coldLeaves
+	// granter is nil unless control VMs or owners of allowances grant a part of the slack. grants holds what they have granted.
 	granter kernel.ExtraGranter
 	grants  *forward.GrantBook
 	random  *rand.Rand
@@ -121,12 +124,13 @@
 	if s.Bool(section, "repeat_pooled") {
 		m.limits.Slack *= 1 - forward.PooledShare
 		var err error
-		if m.granter, err = kernel.Lookup[kernel.ExtraGranter](ctx); err != nil {
+		if m.granter, err = newGranter(ctx); err != nil {
 			return err
 		}
 	}
 	m.quotas.provision(ctx, m.logger)
 	m.grants = forward.NewGrantBook()
+	m.cold.provision(ctx, s)
 	m.random = ctx.Random()
 	m.tracker = forward.NewTracker(forward.TrackerOptions{Zone: ctx.AvailabilityZone, HedgeQuantile: s.Float(section, "hedge_quantile")}, ctx.Random())
 	m.budgets = map[model.ServiceName]*forward.Budget{}
@@ -226,6 +230,9 @@
 	if now.Sub(m.prunedAt) > pruneInterval {
 		m.prunedAt = now
 		m.tracker.Prune(now.Add(-pruneAfter))
+		if m.cold.book != nil {
+			m.cold.book.Prune(now.Add(-pruneAfter))
+		}
 	}
 }
 
--- a/internal/modules/membership/cache.go
+++ b/internal/modules/membership/cache.go
@@ -31,7 +31,7 @@
 	checksumBytes = 8
 )
 
-// cache stores the leaves of a control VM and the number of entry VMs on its disk, so that entry VMs receive them
+// cache stores the leaves of a control VM, the number of entry VMs and the owners of allowances on its disk, so that entry VMs receive them
 // immediately after a restart of all VMs. The file is only a hint: leaves that no longer exist expire, and a damaged
 // file is ignored.
 type cache struct {
@@ -51,6 +51,8 @@
 	leaves []leaves.Leaf
 	// entryVMs is the number of entry VMs, or 0 while it is unknown.
 	entryVMs int
+	// owners holds the owners of allowances. It is empty while there are none.
+	owners ownerLists
 }
 
 func newCache(files fsys.FS, folder string, logger log.Logger) *cache {
@@ -126,6 +128,9 @@
 
 func (c *cache) save(stored cachedState) error {
 	reply := &membershippb.WatchReply{EntryVms: uint32(stored.entryVMs)}
+	if len(stored.owners) > 0 {
+		reply.Owners = stored.owners.toProto(stored.owners.digest())
+	}
 	for i := range stored.leaves {
 		reply.Leaves = append(reply.Leaves, leafToProto(&stored.leaves[i]))
 	}
@@ -153,14 +158,14 @@
 	if len(u.invalid) > 0 {
 		_ = level.Warn(c.logger).Log("msg", "leaves stored on disk ignored because they are invalid", "records", len(u.invalid), "err", u.invalid[0])
 	}
-	return cachedState{u.leaves, u.entryVMs}, err
+	return cachedState{u.leaves, u.entryVMs, u.owners}, err
 }
 
 // currentState returns the state that is kept across a restart.
 func (m *Module) currentState(ctx context.Context) (state cachedState, err error) {
 	err = m.control.Do(ctx, func(now time.Time) {
 		list, _ := m.table.ChangesSince(0)
-		state = cachedState{list, m.entryVMCount(now)}
+		state = cachedState{list, m.entryVMCount(now), m.owners.lists}
 	})
 	return state, err
 }
@@ -186,6 +191,7 @@
 		m.table.Merge(now, m.self, l)
 	}
 	m.restoredEntryVMs = stored.entryVMs
+	m.restoreOwners(stored.owners)
 	if len(stored.leaves) > 0 {
 		_ = level.Info(m.logger).Log("msg", "leaves restored from disk", "leaves", len(stored.leaves), "entry_vms", stored.entryVMs)
 	}
--- a/internal/modules/membership/module.go
+++ b/internal/modules/membership/module.go
@@ -154,6 +154,7 @@
 	entryVMs       int
 	state          kernel.RouteState
 	outlierPool    outlierPool
+	owners         allowanceOwners
 	// newest holds the records of which index was built. leaving holds the incarnations that have replied to this VM that
 	// they are leaving, and when a control VM last listed them.
 	newest map[string]leaves.Leaf
@@ -167,10 +168,11 @@
 	// number.
 	started time.Time
 	// cache is nil except on control VMs, which have a data folder. cachedVersion is the table version that was passed
-	// to it last, and cachedEntryVMs the number of entry VMs.
+	// to it last, cachedEntryVMs the number of entry VMs, and cachedOwners the digest of the owners of allowances.
 	cache          *cache
 	cachedVersion  uint64
 	cachedEntryVMs int
+	cachedOwners   uint64
 	// restoredEntryVMs is the number of entry VMs before the restart, or 0 if unknown.
 	restoredEntryVMs int
 	// changed is closed when there is an update for the watching VMs.
@@ -356,9 +358,10 @@
 			_ = level.Info(m.logger).Log("msg", "entry VM has stopped sending watch requests and is no longer counted", "entry_vm", vm, "entry_vms", len(m.entryLastWatch))
 		}
 	}
-	if version, entryVMs := m.table.Version(), m.entryVMCount(now); version != m.cachedVersion || entryVMs != m.cachedEntryVMs {
-		if list, _ := m.table.ChangesSince(0); m.cache.enqueue(cachedState{list, entryVMs}) {
-			m.cachedVersion, m.cachedEntryVMs = version, entryVMs
+	m.updateOwners(now)
+	if version, entryVMs := m.table.Version(), m.entryVMCount(now); version != m.cachedVersion || entryVMs != m.cachedEntryVMs || m.owners.digest != m.cachedOwners {
+		if list, _ := m.table.ChangesSince(0); m.cache.enqueue(cachedState{list, entryVMs, m.owners.lists}) {
+			m.cachedVersion, m.cachedEntryVMs, m.cachedOwners = version, entryVMs, m.owners.digest
 		}
 	}
 	counts := m.table.Counts()
@@ -372,4 +375,5 @@
 func (m *Module) ContributeView(_ time.Time, v *kernel.View) {
 	v.Routes, v.Leaves, v.EntryVMs, v.LeafOutliers = m.routes, m.index, m.entryVMs, m.outlierPool.inForce
 	v.Evacuations = m.evacuations
+	m.contributeOwners(v)
 }
--- a/internal/modules/membership/module_test.go
+++ b/internal/modules/membership/module_test.go
@@ -144,10 +144,11 @@
 	require.NoError(t, err)
 	require.Empty(t, stored)
 	want := []leaves.Leaf{{ID: "i", Service: "s", Address: "10.0.0.1:1", State: leaves.Ready, BornMS: 4, Sequence: 9}, {ID: "j", State: leaves.Deregistered, BornMS: 3}}
-	require.NoError(t, c.save(cachedState{want, 86}))
+	owners := ownerLists{"z": {"10.0.0.1", "10.0.0.2"}}
+	require.NoError(t, c.save(cachedState{want, 86, owners}))
 	stored, err = newCache(files, "data", log.NewNopLogger()).load()
 	require.NoError(t, err)
-	require.Equal(t, cachedState{want, 86}, stored)
+	require.Equal(t, cachedState{want, 86, owners}, stored)
 	m := newModule()
 	m.started = start
 	m.restore(start, stored)
--- a/internal/modules/membership/watch.go
+++ b/internal/modules/membership/watch.go
@@ -42,6 +42,7 @@
 			req.RoutesVersion = uint64(v.Version)
 		}
 		req.EvacuationsRevision = m.control.View().Evacuations.Revision
+		m.requestOwners(vm, req)
 		u, err := m.sendWatch(runCtx, vm, s, req, hold+watchMargin)
 		if err != nil && s.full.Load() == light {
 			continue // The request was ended because leaves and routes are to be requested from this control VM now.
@@ -114,6 +115,7 @@
 		err := m.control.Do(ctx, func(now time.Time) {
 			if !req.GetControl() {
 				m.entryLastWatch[from] = now
+				m.owners.noteZone(from, req.GetAvailabilityZone())
 			}
 			reply, changed = m.updateFor(now, &req, last), m.changed
 			if req.GetTrouble() {
@@ -158,7 +160,7 @@
 	}
 	newOutliers := req.GetTrouble() && (!sameIncarnation || req.GetTroubleVersion() != outlierVersion)
 	// The first light watch request is answered immediately, so that the sender detects that this VM responds.
-	hasUpdate := newRoutes || newEvacuations || !sameIncarnation || newOutliers || !req.GetLight() && tableVersion != m.table.Version()
+	hasUpdate := newRoutes || newEvacuations || m.newOwners(req) || !sameIncarnation || newOutliers || !req.GetLight() && tableVersion != m.table.Version()
 	if !always && !hasUpdate {
 		return nil
 	}
@@ -177,6 +179,9 @@
 	case newOutliers:
 		reply.Trouble = outliersToProto(m.outlierPool.inForce)
 	}
+	if m.newOwners(req) {
+		reply.Owners = m.owners.lists.toProto(m.owners.digest)
+	}
 	for i := range list {
 		reply.Leaves = append(reply.Leaves, leafToProto(&list[i]))
 	}
--- a/internal/routes/customers.go
+++ b/internal/routes/customers.go
@@ -74,6 +74,12 @@
 // NeedsKey reports whether a request on the route needs the key of a customer.
 func (t *Table) NeedsKey(r *Route) bool { return len(t.Customers) > 0 && !r.Public }
 
+// NeedsAllowances reports whether the table limits what all entry VMs do together.
+func (t *Table) NeedsAllowances() bool {
+	return slices.ContainsFunc(t.Customers, func(c Customer) bool { return c.Quota.IsLimited() }) ||
+		slices.ContainsFunc(t.Services, func(s Service) bool { return s.WarmUpRate > 0 })
+}
+
 // CustomerOf returns the customer that holds a key, or nil.
 func (t *Table) CustomerOf(key string) *Customer {
 	if key == "" {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -289,6 +289,12 @@
 	return nil
 }
 
+// PoolZones is the value of [forward] repeat_pool with which the owners of allowances in the availability zones grant extra attempts.
+const PoolZones = "zones"
+
+// PoolsExtrasInZones reports whether the owners of allowances grant extra attempts.
+func (s *Settings) PoolsExtrasInZones() bool { return s.values["forward.repeat_pool"] == PoolZones }
+
 // SeedPeers returns the control VMs at the seeds, this VM included if it is one of them.
 func (s *Settings) SeedPeers() []Peer { return s.seedPeers }
 
@@ -297,6 +303,13 @@
 	return Peer{Name: vm, Addr: net.JoinHostPort(string(vm), s.String("discovery", "peer_port")), Roles: []string{RoleControl}}
 }
 
+// EntryPeer returns the peer of a discovered entry VM.
+func (s *Settings) EntryPeer(vm model.VMName) Peer {
+	p := s.ControlPeer(vm)
+	p.Roles = []string{RoleEntry}
+	return p
+}
+
 // check returns an error if a value does not fit the key.
 func (k Key) check(v string) error {
 	var number float64
