Do not count the rejections of full leaves against them

Cause: a reply that states 'not run' counted as a bad attempt in the evidence that is reported to other VMs, and raised the failure rate of its leaf, which multiplies its cost by up to 16. In a burst 72 of 108 leaves were outliers at all VMs and 899 were ejected. Change: such a reply counts in neither, unless the leaf reports free slots and an empty queue with it after its warm-up; that is a failure, and three in a row eject the leaf. A rejection without a load report raises the failure rate of this VM alone, as before.

--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -74,7 +74,8 @@
 	// first reply. latencyRatioAt is when it was last updated.
 	latencyRatio   float64
 	latencyRatioAt time.Time
-	// failureRate is the share of attempts that failed, were shed or got no reply, last updated at failureRateAt.
+	// failureRate is the share of attempts that failed, got no reply or were rejected by a leaf that does not report that it is full,
+	// last updated at failureRateAt.
 	failureRate         float64
 	failureRateAt       time.Time
 	consecutiveFailures int
@@ -254,7 +255,7 @@
 
 // AttemptEnded records the result of an attempt that was started at the given time. A cancelled attempt does not count for or
 // against its leaf, unless the leaf was unresponsive by then. A request that the leaf has turned away with the wish for a pause
-// is no failure of the leaf.
+// is no failure of the leaf, nor is one that a full leaf has rejected.
 func (t *Tracker) AttemptEnded(now time.Time, route string, m *leaves.Member, started time.Time, result *AttemptResult, cancelled bool) (v Verdict) {
 	s := t.statsOf(m)
 	if i := slices.IndexFunc(s.inFlight, func(a inFlightAttempt) bool { return a.startedAt.Equal(started) }); i >= 0 {
@@ -284,14 +285,20 @@
 	case cancelled && r == nil && !unresponsive:
 	case r != nil && r.WrongLeaf:
 		v.Ejected = s.eject(now, maxEjectTime)
-	case r != nil && r.NotRun:
+	case r != nil && r.NotRun && !rejectsWithRoom(now, m, r.Load):
 		s.shedUntil = now.Add(shedTime)
-		s.observeFailure(now, 1)
+		if now.Sub(s.loadAt) >= maxLoadAge {
+			s.observeFailure(now, 1) // Without a load report the leaf may be faulty as well as full.
+		}
 	case r != nil && r.Succeeded():
 		s.consecutiveFailures, s.ejections = 0, 0
 		s.observeFailure(now, 0)
 		t.observeLatency(now, route, s, result.Latency)
 	default:
+		if r != nil && r.NotRun {
+			s.shedUntil = now.Add(shedTime)
+			s.counts.addFaulty()
+		}
 		s.consecutiveFailures++
 		s.observeFailure(now, 1)
 		if result.Refused || unresponsive || s.consecutiveFailures >= ejectAfter {
@@ -301,6 +308,19 @@
 	return v
 }
 
+// rejectsWithRoom reports whether a leaf that rejects a request reports free slots and an empty queue with the rejection. Such a leaf
+// is faulty. During its warm-up a leaf may accept less than its slots.
+func rejectsWithRoom(now time.Time, m *leaves.Member, load *Load) bool {
+	if load == nil || now.Before(m.WarmAt) {
+		return false
+	}
+	slots := load.Slots
+	if slots <= 0 {
+		slots = m.Slots
+	}
+	return load.Waiting == 0 && load.Running < slots
+}
+
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
