Let a part that no leaf has run wait for the budget of extra attempts

Cause: a part of a scatter-gather request that was rejected by full leaves failed at once when the budget was used up. One such part more than the coverage allows failed the query while the leaves of up to 34 other shards worked for it. A request of which no part has a reply or an attempt under way still fails at once: it loses nothing, and another VM has a budget of its own.

--- a/internal/forward/full_test.go
+++ b/internal/forward/full_test.go
@@ -84,3 +84,70 @@
 	require.False(t, ejected, "a leaf that warms up accepts less than its slots")
 	require.Empty(t, outliers)
 }
+
+// newShortRun returns the run of a request to four shards of which all but the last have replied. The last one was rejected by a full
+// leaf, and the budget of extra attempts is used up.
+func newShortRun(t *testing.T) (*Run, *fakeEnv) {
+	e := newEnv("a", "b", "c", "d")
+	e.extraLeft = 0
+	r := newRun(scatterRoute(1), e) // The objective leaves 90 ms for waiting.
+	r.Step(start)
+	for i := range 3 {
+		r.AttemptEnded(i, 0, successWith("aaaaaaaaaaaaaaaa"))
+	}
+	r.AttemptEnded(3, 0, replyWith(503, true))
+	return r, e
+}
+
+// Guards against a query that fails with 34 of 36 shards and time left because the budget was used up for a moment, and against a part
+// that asks the budget all the time.
+func TestPartThatNoLeafRanAwaitsTheBudget(t *testing.T) {
+	r, e := newShortRun(t)
+	sends, response, wake := r.Step(at(1))
+	require.Empty(t, sends)
+	require.Nil(t, response)
+	require.Equal(t, at(1).Add(budgetRetryDelay), wake)
+	asked := e.extraLeft
+	r.Step(at(5))
+	require.Equal(t, asked, e.extraLeft, "a step for another reason does not ask the budget")
+	require.Empty(t, r.Waiting(), "a connection is of no use to it")
+	e.extraLeft = 1
+	sends, _, _ = r.Step(wake)
+	require.Len(t, sends, 1)
+	require.Equal(t, "d2", sends[0].Leaf.ID)
+	r.AttemptEnded(3, 1, successWith("aaaaaaaaaaaaaaaa"))
+	_, response, _ = r.Step(at(20))
+	require.Equal(t, KindMerged, response.Kind)
+	require.Zero(t, response.Missing)
+}
+
+// Guards against a wait for the budget that cannot help: after the last moment for an attempt, for a part that a leaf has failed, and
+// for a request that has used no leaf and may run at once on another VM.
+func TestPartDoesNotAwaitTheBudgetInVain(t *testing.T) {
+	r, e := newShortRun(t)
+	now, steps := at(1), 0
+	var response *Response
+	for ; response == nil; steps++ {
+		_, response, now = r.Step(now)
+	}
+	require.Equal(t, KindFailed, response.Kind)
+	require.False(t, now.After(r.lastStart()))
+	require.LessOrEqual(t, -e.extraLeft, 6, "one request for each budgetRetryDelay")
+	require.LessOrEqual(t, steps, 7)
+
+	e = newEnv("a", "b", "c", "d")
+	e.extraLeft = 0
+	r = newRun(scatterRoute(1), e)
+	r.Step(start)
+	r.AttemptEnded(3, 0, lostConnection)
+	_, response, _ = r.Step(at(1))
+	require.Equal(t, KindFailed, response.Kind)
+
+	r = newRun(scatterRoute(1), e)
+	r.Step(start)
+	for i := range 4 {
+		r.AttemptEnded(i, 0, replyWith(503, true))
+	}
+	_, response, _ = r.Step(at(1))
+	require.Equal(t, KindRefused, response.Kind)
+}
