Give the next place of a full service to the customer with the least work

Cause: waiting requests were woken by the rank of their route and their arrival, so a customer that sends ten times what others do took their places. Change: the customer's rank comes before that of the route. The usual time of the route is charged when an attempt is started and corrected when it ends. Requests without a customer share one account, and without customers in the configuration the order is as before.

--- a/internal/modules/forwarder/module.go
+++ b/internal/modules/forwarder/module.go
@@ -76,6 +76,8 @@
 	grants  *forward.GrantBook
 	random  *rand.Rand
 	waiters waiters
+	// use holds how much work the leaves did lately for each customer.
+	use *forward.ServiceUse
 	// applied is the last view that was compared with the one before it.
 	applied *kernel.View
 	// prunedAt is when old observations were last removed.
@@ -117,7 +119,7 @@
 	m.random = ctx.Random()
 	m.tracker = forward.NewTracker(forward.TrackerOptions{Zone: ctx.AvailabilityZone, HedgeQuantile: s.Float(section, "hedge_quantile")}, ctx.Random())
 	m.budgets = map[model.ServiceName]*forward.Budget{}
-	m.waiters = waiters{}
+	m.waiters, m.use = waiters{}, forward.NewServiceUse()
 	var err error
 	if m.reporter, err = kernel.Lookup[kernel.LeafReporter](ctx); err != nil {
 		return err
@@ -181,10 +183,25 @@
 		service = route.Pick(m.random.Float64())
 		m.mu.Unlock()
 	}
+	r.use = m.accountOf(req)
 	r.state = forward.NewRun(req, route, service, m.options, r)
 	return m.finish(req, r, r.serve())
 }
 
+// accountOf returns the account of the customer of a request. Requests without a customer share one, and there is none where the
+// configuration has no customers.
+func (m *Module) accountOf(req *forward.Request) *forward.UseAccount {
+	if !req.HasCustomers {
+		return nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c := req.Customer; c != nil {
+		return m.use.Account(m.now(), c.Name, c.Quota.Rate)
+	}
+	return m.use.Account(m.now(), "", 0)
+}
+
 // notReadyRetryAfter is the delay after which a caller may retry at a VM that has no route table yet. A VM that has just
 // started usually receives one within this time.
 const notReadyRetryAfter = 300 * time.Millisecond
@@ -194,6 +211,9 @@
 	if now.Sub(m.prunedAt) > pruneInterval {
 		m.prunedAt = now
 		m.tracker.Prune(now.Add(-pruneAfter))
+		if m.use != nil {
+			m.use.Prune(now)
+		}
 	}
 }
 
--- a/internal/modules/forwarder/runner.go
+++ b/internal/modules/forwarder/runner.go
@@ -25,6 +25,8 @@
 	req     *forward.Request
 	route   *routes.Route
 	version routes.Version
+	// use is the account of the customer of the request. It is nil where the configuration has no customers.
+	use     *forward.UseAccount
 	state   *forward.Run
 	results *resultQueue
 	// wakes gets a value when a leaf for which the request waits has an available connection.
@@ -43,6 +45,8 @@
 	leaf        *leaves.Member
 	startedAt   time.Time
 	handle      kernel.LeafAttempt
+	// charged is the work that was added to the account of the customer when the attempt was started.
+	charged time.Duration
 	// cancelled and withdrawn are guarded by the module's lock.
 	cancelled, withdrawn bool
 	ended                bool
@@ -82,6 +86,9 @@
 	return list
 }
 
+// rank returns the rank of the request. Requests of rank 0 are served first.
+func (r *runner) rank() int { return r.req.Rank(r.route) }
+
 // serve runs the request until there is a response or the caller has disconnected.
 func (r *runner) serve() *forward.Response {
 	defer r.leaveQueues()
@@ -148,6 +155,11 @@
 	r.attempts = append(r.attempts, a)
 	m.mu.Lock()
 	m.tracker.AttemptStarted(now, r.route.Name, s.Leaf)
+	if r.use != nil {
+		// The usual work is charged at once, so that a customer cannot start many attempts before the first of them ends.
+		a.charged = m.tracker.SeenLatency(r.route.Name).Median
+		r.use.Add(now, a.charged)
+	}
 	m.prune(now)
 	m.mu.Unlock()
 	req := &forward.LeafRequest{Request: r.req, Leaf: s.Leaf.ID, Until: s.Until, Repeatable: r.route.Repeatable}
@@ -163,9 +175,11 @@
 	if cancelled {
 		m.metrics.cancelled.Inc(1)
 	}
-	verdict := m.tracker.AttemptEnded(m.now(), r.route.Name, a.leaf, a.startedAt, &result, cancelled)
+	now := m.now()
+	verdict := m.tracker.AttemptEnded(now, r.route.Name, a.leaf, a.startedAt, &result, cancelled)
+	r.use.Add(now, workOf(&result)-a.charged)
 	m.startReports()
-	m.waiters.wake(a.leaf.Service)
+	m.waiters.wake(now, a.leaf.Service)
 	m.mu.Unlock()
 	if verdict.Leaving {
 		m.reporter.MarkLeaving(a.leaf.Key())
@@ -174,6 +188,14 @@
 	r.results.add(attemptResult{a, result})
 }
 
+// workOf returns the time for which an attempt has used its leaf.
+func workOf(result *forward.AttemptResult) time.Duration {
+	if !result.MayHaveRun() {
+		return 0
+	}
+	return result.Latency
+}
+
 // cancelPending cancels the attempts that have not ended, either after the delay or, if it is 0, immediately.
 func (r *runner) cancelPending(delay time.Duration) {
 	for _, a := range r.attempts {
@@ -223,9 +245,10 @@
 	r.module.mu.Lock()
 	defer r.module.mu.Unlock()
 	r.module.waiters.remove(r.waiting, r)
+	now := r.module.now()
 	// The next request may use the connection for which this one was woken.
 	for _, s := range r.waiting {
-		r.module.waiters.wake(s)
+		r.module.waiters.wake(now, s)
 	}
 }
 
--- a/internal/modules/forwarder/waiters.go
+++ b/internal/modules/forwarder/waiters.go
@@ -2,19 +2,20 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
 )
 
-// waiters holds the requests that wait for an available connection to a leaf of a service, in the order of their
-// routes' ranks and then of their arrival. It is guarded by the module's lock.
+// waiters holds the requests that wait for an available connection to a leaf of a service, in the order of their ranks and then of
+// their arrival. It is guarded by the module's lock.
 type waiters map[model.ServiceName][]*runner
 
 func (w waiters) add(services []model.ServiceName, r *runner) {
 	for _, s := range services {
 		list := w[s]
 		i := len(list)
-		for i > 0 && list[i-1].route.Rank > r.route.Rank {
+		for i > 0 && list[i-1].rank() > r.rank() {
 			i--
 		}
 		w[s] = slices.Insert(list, i, r)
@@ -32,14 +33,31 @@
 	}
 }
 
-// wake lets the first waiting request of a service try again. Requests that were woken and have not run since are skipped.
-func (w waiters) wake(service model.ServiceName) {
+// wake lets the first waiting request of a service try again: of those of the best rank, the one whose customer had the least work
+// of late for its quota, and then the one that came first. Requests that were woken and have not run since are skipped.
+func (w waiters) wake(now time.Time, service model.ServiceName) {
+	var first *runner
+	var least float64
 	for _, r := range w[service] {
-		select {
-		case r.wakes <- struct{}{}:
-			return
-		default:
+		if first != nil && r.rank() != first.rank() {
+			break
 		}
+		if len(r.wakes) > 0 {
+			continue
+		}
+		if share := r.use.Share(now); first == nil || share < least {
+			first, least = r, share
+		}
+		if least <= 0 {
+			break
+		}
+	}
+	if first == nil {
+		return
+	}
+	select {
+	case first.wakes <- struct{}{}:
+	default: // Values are added under the module's lock, so there is room for this one.
 	}
 }
 
