Refuse requests that full services cannot answer in time

Cause: a scatter-gather request to services that are full for longer than its deadline used their leaves and was refused late. Change: before its first attempt, a request is refused if more shards than may be missing are full by agreeing evidence of this VM: all their leaves have rejected a request within 100 ms and report a queue that takes several times the time left, or all report a queue and the requests that wait on this VM ahead take as long at the rate of late.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -50,6 +50,9 @@
 	Withdraw(part, attempt int) bool
 	// HedgeDelay returns how long an attempt may be unanswered before the request is sent to another leaf as well.
 	HedgeDelay() time.Duration
+	// ExpectedWhenFull returns the time within which the request is expected to be answered at the earliest by a service whose leaves
+	// are all known to be full, and 0 for any other service.
+	ExpectedWhenFull(now time.Time, service model.ServiceName) time.Duration
 	// SeenLatency returns what this VM has seen of the latency of the route.
 	SeenLatency() SeenLatency
 }
@@ -124,12 +127,15 @@
 	// sent reports whether an attempt may have reached a leaf.
 	sent          bool
 	anyMayHaveRun bool
+	rank          int
+	// begun reports whether Step was called. refusedEarly reports whether the request was refused because services are full.
+	begun, refusedEarly bool
 }
 
 // NewRun returns the run of a request on a route. service is the one that was picked from the split of the route; it is
 // ignored for a scatter-gather route.
 func NewRun(req *Request, route *routes.Route, service model.ServiceName, o Options, env Env) *Run {
-	r := &Run{route: route, env: env}
+	r := &Run{route: route, env: env, rank: req.Rank(route)}
 	r.deadline = req.Received.Add(route.Timeout)
 	if !req.Deadline.IsZero() {
 		if d := req.Deadline.Add(-o.CallerDelay); d.Before(r.deadline) {
@@ -172,10 +178,14 @@
 		if response = r.refuseUnfinishable(now); response == nil {
 			response = r.refusePaused(now)
 		}
+		if response == nil && !r.begun {
+			response = r.refuseFull(now)
+		}
 		if response != nil {
 			return nil, response, now
 		}
 	}
+	r.begun = true
 	wake = r.deadline
 	open := false
 	for i := range r.parts {
--- a/internal/forward/run_test.go
+++ b/internal/forward/run_test.go
@@ -31,6 +31,8 @@
 	// pending is how many of the next requests for extra attempts are pending.
 	pending       int
 	firstAttempts int
+	// whenFull holds the expected times of full services.
+	whenFull map[model.ServiceName]time.Duration
 }
 
 func newEnv(services ...model.ServiceName) *fakeEnv {
@@ -106,6 +108,10 @@
 func (e *fakeEnv) Withdraw(part, attempt int) bool { return e.unsent[[2]int{part, attempt}] }
 func (e *fakeEnv) HedgeDelay() time.Duration       { return e.hedgeDelay }
 
+func (e *fakeEnv) ExpectedWhenFull(_ time.Time, s model.ServiceName) time.Duration {
+	return e.whenFull[s]
+}
+
 func (e *fakeEnv) SeenLatency() SeenLatency { return e.seen }
 
 func singleRoute(repeatable bool) *routes.Route {
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -94,6 +94,13 @@
 	pausedUntil time.Time
 	lastUsed    time.Time
 	counts      attemptCounts
+	// rejectedAt is when the leaf last rejected a request because it was full.
+	rejectedAt time.Time
+	// alone is a low estimate of the latency without the queue of the leaf, in nanoseconds. served is the decaying number of
+	// replies to requests that the leaf has run since servedSince.
+	alone                          float64
+	served                         float64
+	aloneAt, servedAt, servedSince time.Time
 }
 
 type inFlightAttempt struct {
@@ -124,6 +131,8 @@
 	zones   map[model.AvailabilityZone]*zoneStats
 	// zonesScannedAt is when the availability zones were last evaluated.
 	zonesScannedAt time.Time
+	// rejectedAt is when a full leaf last rejected a request.
+	rejectedAt time.Time
 }
 
 // NewTracker returns a tracker without observations.
@@ -226,7 +235,10 @@
 }
 
 // decay returns the part of an observation that still counts.
-func decay(now, observed time.Time) float64 {
+func decay(now, observed time.Time) float64 { return halved(now, observed, halfLife) }
+
+// halved returns the part of an observation that still counts where it counts half after each half-life.
+func halved(now, observed time.Time, halfLife time.Duration) float64 {
 	return math.Exp2(-float64(now.Sub(observed)) / float64(halfLife))
 }
 
@@ -286,13 +298,14 @@
 	case r != nil && r.WrongLeaf:
 		v.Ejected = s.eject(now, maxEjectTime)
 	case r != nil && r.NotRun && !rejectsWithRoom(now, m, r.Load):
-		s.shedUntil = now.Add(shedTime)
+		s.shedUntil, s.rejectedAt, t.rejectedAt = now.Add(shedTime), now, now
 		if now.Sub(s.loadAt) >= maxLoadAge {
 			s.observeFailure(now, 1) // Without a load report the leaf may be faulty as well as full.
 		}
 	case r != nil && r.Succeeded():
 		s.consecutiveFailures, s.ejections = 0, 0
 		s.observeFailure(now, 0)
+		s.observeService(now, m, r, result.Latency)
 		t.observeLatency(now, route, s, result.Latency)
 	default:
 		if r != nil && r.NotRun {
@@ -314,11 +327,7 @@
 	if load == nil || now.Before(m.WarmAt) {
 		return false
 	}
-	slots := load.Slots
-	if slots <= 0 {
-		slots = m.Slots
-	}
-	return load.Waiting == 0 && load.Running < slots
+	return load.Waiting == 0 && load.Running < slotsOf(m, load)
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/forward/use.go
+++ b/internal/forward/use.go
@@ -1,9 +1,6 @@
 package forward
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// useHalfLife is the half-life of the work of a customer. Bursts of one customer last 5 to 7 s, and the places of a service that
@@ -54,7 +51,7 @@
 }
 
 func (a *UseAccount) decayed(now time.Time) float64 {
-	return a.work * math.Exp2(-float64(now.Sub(a.at))/float64(useHalfLife))
+	return a.work * halved(now, a.at, useHalfLife)
 }
 
 // Share returns the work of late in proportion to the customer's quota. Without this proportion, the smallest customers would be
--- a/internal/modules/forwarder/module.go
+++ b/internal/modules/forwarder/module.go
@@ -245,6 +245,7 @@
 	scope                             tally.Scope
 	first, retries, hedges, cancelled tally.Counter
 	granted, undelivered              tally.Counter
+	refusedEarly                      tally.Counter
 	latency                           tally.Histogram
 	leaving, pauses                   tally.Counter
 	unresponsiveZones                 tally.Gauge
@@ -259,7 +260,7 @@
 	}
 	return metrics{
 		scope: s, first: attempts("first"), retries: attempts("retry"), hedges: attempts("hedge"),
-		cancelled: s.Counter("attempts_cancelled"), granted: s.Counter("extras_granted"), undelivered: s.Counter("undelivered"), latency: s.Histogram("latency", latencyBuckets),
+		cancelled: s.Counter("attempts_cancelled"), granted: s.Counter("extras_granted"), undelivered: s.Counter("undelivered"), refusedEarly: s.Counter("refused_early"), latency: s.Histogram("latency", latencyBuckets),
 		leaving: s.Counter("leaves_leaving"), pauses: s.Counter("leaf_pauses"),
 		unresponsiveZones: s.Gauge("silent_zones"),
 	}
--- a/internal/modules/forwarder/runner.go
+++ b/internal/modules/forwarder/runner.go
@@ -103,6 +103,9 @@
 		now := r.module.now()
 		sends, response, wake := r.state.Step(now)
 		if response != nil {
+			if r.state.RefusedEarly() {
+				r.module.metrics.refusedEarly.Inc(1)
+			}
 			r.withdrawExtras(now)
 			r.cancelPending(cancelDelay)
 			return response
@@ -371,6 +374,15 @@
 	return true
 }
 
+// ExpectedWhenFull implements forward.Env.
+func (r *runner) ExpectedWhenFull(now time.Time, service model.ServiceName) time.Duration {
+	m := r.module
+	list := m.members(service)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tracker.ExpectedWhenFull(now, list, m.waiters.ahead(now, service, r))
+}
+
 // SeenLatency implements forward.Env.
 func (r *runner) SeenLatency() forward.SeenLatency {
 	m := r.module
--- a/internal/modules/forwarder/waiters.go
+++ b/internal/modules/forwarder/waiters.go
@@ -61,6 +61,16 @@
 	}
 }
 
+// ahead returns how many waiting requests of a service come before a request that does not wait yet.
+func (w waiters) ahead(now time.Time, service model.ServiceName, r *runner) (n int) {
+	for _, x := range w[service] {
+		if x.rank() < r.rank() || x.rank() == r.rank() && x.use.Share(now) <= r.use.Share(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // wakeAll lets all waiting requests try again.
 func (w waiters) wakeAll() {
 	for _, list := range w {
