Add the choice of a leaf by the work that it still has

Cause: leaves are compared by the requests that they have, so that two requests of 11 ms count as two of 3.8 ms, and a slow leaf as a fast one with a longer latency. Change: with [forward] choice = work, leaves are compared by when they are expected to finish a request: the work left, by the cost of the routes and the latest load report, which counts less with age, the slowness of the leaf, and the network of its zone.

--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -93,6 +93,7 @@
 	leaving     bool
 	pausedUntil time.Time
 	lastUsed    time.Time
+	work        leafWork
 	counts      attemptCounts
 	// rejectedAt is when the leaf last rejected a request because it was full.
 	rejectedAt time.Time
@@ -107,6 +108,9 @@
 	startedAt time.Time
 	// unresponsiveAfter is the age from which the leaf counts as unresponsive if the attempt is still unanswered.
 	unresponsiveAfter time.Duration
+	// cost is the expected work, and wait how long the attempt is expected to wait for a slot, both in nanoseconds. They are set with
+	// ChoiceWork only.
+	cost, wait float64
 }
 
 // latencies holds the latencies of a route in the two halves of the window.
@@ -119,6 +123,8 @@
 type TrackerOptions struct {
 	Zone          model.AvailabilityZone
 	HedgeQuantile float64
+	// Choice is how leaves are compared. The zero value is ChoiceRequests.
+	Choice Choice
 }
 
 // Tracker keeps the observations of this VM about leaves and availability zones, and chooses the leaf for an attempt. It is not
@@ -133,12 +139,14 @@
 	zonesScannedAt time.Time
 	// rejectedAt is when a full leaf last rejected a request.
 	rejectedAt time.Time
+	work       workModel
 }
 
 // NewTracker returns a tracker without observations.
 func NewTracker(o TrackerOptions, random *rand.Rand) *Tracker {
 	return &Tracker{
 		options: o, random: random, leaves: map[leaves.Key]*leafStats{}, routes: map[string]*latencies{}, zones: map[model.AvailabilityZone]*zoneStats{},
+		work: newWorkModel(),
 	}
 }
 
@@ -184,7 +192,7 @@
 			}
 			continue
 		}
-		cost := t.cost(now, m, s, typical, outliers[m.Key().Incarnation])
+		cost := t.cost(now, route, m, s, typical, outliers[m.Key().Incarnation])
 		if !connections.Prefers(m) {
 			cost *= notPreferredPenalty
 		}
@@ -200,8 +208,33 @@
 
 // cost returns the expected latency of a leaf, weighted with its failures, in units of the typical latency of the route.
 // badRate is the rate of bad attempts at the leaf across all entry VMs, if it is an outlier.
-func (t *Tracker) cost(now time.Time, m *leaves.Member, s *leafStats, typical time.Duration, badRate float64) float64 {
-	latencyRatio := 1.0
+func (t *Tracker) cost(now time.Time, route string, m *leaves.Member, s *leafStats, typical time.Duration, badRate float64) float64 {
+	var cost, latencyRatio float64
+	jitter := costJitter
+	if t.options.Choice == ChoiceWork {
+		cost, latencyRatio, jitter = t.finishRatio(now, route, m, s), s.work.current(now), workJitter
+	} else {
+		cost, latencyRatio = s.requestsCost(now, m)
+	}
+	if len(s.inFlight) > 0 {
+		if age := now.Sub(s.inFlight[0].startedAt); float64(age) > stallFactor*latencyRatio*float64(typical) {
+			cost += float64(age) / float64(typical)
+		}
+	}
+	if m.AvailabilityZone != t.options.Zone {
+		cost *= zonePenalty
+	}
+	if now.Before(m.WarmAt) {
+		cost *= warmUpPenalty
+	}
+	failureRate := max(s.failureRate*decay(now, s.failureRateAt), badRate)
+	cost *= 1 + failurePenalty*failureRate
+	return cost * (1 + jitter*t.random.Float64())
+}
+
+// requestsCost returns the expected latency of a leaf by the requests that it has, and its latency ratio.
+func (s *leafStats) requestsCost(now time.Time, m *leaves.Member) (cost, latencyRatio float64) {
+	latencyRatio = 1.0
 	if s.latencyRatio != 0 {
 		latencyRatio += (s.latencyRatio - 1) * decay(now, s.latencyRatioAt)
 	}
@@ -217,21 +250,8 @@
 		busy = max(busy, float64(2*slots))
 	}
 	// Requests in the slots slow a leaf a little, and further ones have to wait for a slot.
-	cost := latencyRatio * (1 + 0.25*busy/float64(slots) + max(0, busy+1-float64(slots))/float64(slots))
-	if len(s.inFlight) > 0 {
-		if age := now.Sub(s.inFlight[0].startedAt); float64(age) > stallFactor*latencyRatio*float64(typical) {
-			cost += float64(age) / float64(typical)
-		}
-	}
-	if m.AvailabilityZone != t.options.Zone {
-		cost *= zonePenalty
-	}
-	if now.Before(m.WarmAt) {
-		cost *= warmUpPenalty
-	}
-	failureRate := max(s.failureRate*decay(now, s.failureRateAt), badRate)
-	cost *= 1 + failurePenalty*failureRate
-	return cost * (1 + costJitter*t.random.Float64())
+	cost = latencyRatio * (1 + 0.25*busy/float64(slots) + max(0, busy+1-float64(slots))/float64(slots))
+	return cost, latencyRatio
 }
 
 // decay returns the part of an observation that still counts.
@@ -251,7 +271,11 @@
 // time.
 func (t *Tracker) AttemptStarted(now time.Time, route string, m *leaves.Member) {
 	s := t.statsOf(m)
-	s.inFlight = append(s.inFlight, inFlightAttempt{startedAt: now, unresponsiveAfter: t.unresponsiveAfter(route)})
+	a := inFlightAttempt{startedAt: now, unresponsiveAfter: t.unresponsiveAfter(route)}
+	if t.options.Choice == ChoiceWork {
+		t.expectWork(now, route, m, s, &a)
+	}
+	s.inFlight = append(s.inFlight, a)
 	s.lastUsed = now
 }
 
@@ -270,7 +294,9 @@
 // is no failure of the leaf, nor is one that a full leaf has rejected.
 func (t *Tracker) AttemptEnded(now time.Time, route string, m *leaves.Member, started time.Time, result *AttemptResult, cancelled bool) (v Verdict) {
 	s := t.statsOf(m)
+	var a inFlightAttempt
 	if i := slices.IndexFunc(s.inFlight, func(a inFlightAttempt) bool { return a.startedAt.Equal(started) }); i >= 0 {
+		a = s.inFlight[i]
 		s.inFlight = slices.Delete(s.inFlight, i, i+1)
 	}
 	r := result.Reply
@@ -307,6 +333,9 @@
 		s.observeFailure(now, 0)
 		s.observeService(now, m, r, result.Latency)
 		t.observeLatency(now, route, s, result.Latency)
+		if t.options.Choice == ChoiceWork {
+			t.observeWork(now, route, s, &a, r, result.Latency)
+		}
 	default:
 		if r != nil && r.NotRun {
 			s.shedUntil = now.Add(shedTime)
--- a/internal/modules/forwarder/module.go
+++ b/internal/modules/forwarder/module.go
@@ -40,6 +40,7 @@
 			{Section: section, Name: "caller_delay", Kind: settings.KindDuration, Default: "12ms", Max: 10, Help: "network delay of a request and its answer between callers and this VM, together; includes a new connection of the caller"},
 			{Section: section, Name: "answer_work", Kind: settings.KindDuration, Default: "1500us", Max: 1, Help: "processor time, on a whole core, from the first byte of a request to its arrival here and from the decision to answer to the last byte"},
 			{Section: section, Name: "hedge_quantile", Kind: settings.KindFloat, Default: "0.92", Min: 0.5, Max: 0.999, Help: "quantile of the latency of a route after which an attempt is hedged"},
+			{Section: section, Name: "choice", Kind: settings.KindString, Default: string(forward.ChoiceRequests), Choices: []string{string(forward.ChoiceRequests), string(forward.ChoiceWork)}, Help: "what leaves are compared by: the requests that they have, or when they are expected to finish the request by the work that they have"},
 			{Section: section, Name: "repeat_ratio", Kind: settings.KindFloat, Default: "0.2", Max: 10, Help: "extra attempts (hedges and retries) that all entry VMs together may send to a service, as a share of the requests for it"},
 			{Section: section, Name: "repeat_slack", Kind: settings.KindInt, Default: "50", Max: 1000000, Help: "extra attempts that are allowed in addition to the share"},
 			{Section: section, Name: "repeat_window", Kind: settings.KindDuration, Default: "10s", Min: 1, Max: 600, Help: "time over which extra attempts are counted"},
@@ -117,7 +118,9 @@
 	}
 	m.grants = forward.NewGrantBook()
 	m.random = ctx.Random()
-	m.tracker = forward.NewTracker(forward.TrackerOptions{Zone: ctx.AvailabilityZone, HedgeQuantile: s.Float(section, "hedge_quantile")}, ctx.Random())
+	m.tracker = forward.NewTracker(forward.TrackerOptions{
+		Zone: ctx.AvailabilityZone, HedgeQuantile: s.Float(section, "hedge_quantile"), Choice: forward.Choice(s.String(section, "choice")),
+	}, ctx.Random())
 	m.budgets = map[model.ServiceName]*forward.Budget{}
 	m.waiters, m.use = waiters{}, forward.NewServiceUse()
 	var err error
