Join the order of waiting requests, early refusals and the choice by work

Cause: full leaves counted as faulty, parts failed at once without the budget, and requests waited by arrival only.

--- a/internal/modules/forwarder/allowances.go
+++ b/internal/modules/forwarder/allowances.go
@@ -143,7 +143,7 @@
 	wake := func() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		m.waiters.wake(u.leaf.Service)
+		m.waiters.wake(m.now(), u.leaf.Service)
 	}
 	if delay := next.Sub(at); delay > 0 {
 		time.AfterFunc(delay, wake)
--- a/internal/modules/forwarder/module.go
+++ b/internal/modules/forwarder/module.go
@@ -41,6 +41,7 @@
 			{Section: section, Name: "caller_delay", Kind: settings.KindDuration, Default: "12ms", Max: 10, Help: "network delay of a request and its answer between callers and this VM, together; includes a new connection of the caller"},
 			{Section: section, Name: "answer_work", Kind: settings.KindDuration, Default: "1500us", Max: 1, Help: "processor time, on a whole core, from the first byte of a request to its arrival here and from the decision to answer to the last byte"},
 			{Section: section, Name: "hedge_quantile", Kind: settings.KindFloat, Default: "0.92", Min: 0.5, Max: 0.999, Help: "quantile of the latency of a route after which an attempt is hedged"},
+			{Section: section, Name: "choice", Kind: settings.KindString, Default: string(forward.ChoiceRequests), Choices: []string{string(forward.ChoiceRequests), string(forward.ChoiceWork)}, Help: "what leaves are compared by: the requests that they have, or when they are expected to finish the request by the work that they have"},
 			{Section: section, Name: "repeat_ratio", Kind: settings.KindFloat, Default: "0.2", Max: 10, Help: "extra attempts (hedges and retries) that all entry VMs together may send to a service, as a share of the requests for it"},
 			{Section: section, Name: "repeat_slack", Kind: settings.KindInt, Default: "50", Max: 1000000, Help: "extra attempts that are allowed in addition to the share"},
 			{Section: section, Name: "repeat_window", Kind: settings.KindDuration, Default: "10s", Min: 1, Max: 600, Help: "time over which extra attempts are counted"},
@@ -85,6 +86,8 @@
 	grants  *forward.GrantBook
 	random  *rand.Rand
 	waiters waiters
+	// use holds how much work the leaves did lately for each customer.
+	use *forward.ServiceUse
 	// applied is the last view that was compared with the one before it.
 	applied *kernel.View
 	// prunedAt is when old observations were last removed.
@@ -132,9 +135,11 @@
 	m.grants = forward.NewGrantBook()
 	m.cold.provision(ctx, s)
 	m.random = ctx.Random()
-	m.tracker = forward.NewTracker(forward.TrackerOptions{Zone: ctx.AvailabilityZone, HedgeQuantile: s.Float(section, "hedge_quantile")}, ctx.Random())
+	m.tracker = forward.NewTracker(forward.TrackerOptions{
+		Zone: ctx.AvailabilityZone, HedgeQuantile: s.Float(section, "hedge_quantile"), Choice: forward.Choice(s.String(section, "choice")),
+	}, ctx.Random())
 	m.budgets = map[model.ServiceName]*forward.Budget{}
-	m.waiters = waiters{}
+	m.waiters, m.use = waiters{}, forward.NewServiceUse()
 	var err error
 	if m.reporter, err = kernel.Lookup[kernel.LeafReporter](ctx); err != nil {
 		return err
@@ -217,10 +222,25 @@
 		m.mu.Unlock()
 	}
 	r.service = service
+	r.use = m.accountOf(req)
 	r.state = forward.NewRun(req, route, service, m.options, r)
 	return r.serve(), r
 }
 
+// accountOf returns the account of the customer of a request. Requests without a customer share one, and there is none where the
+// configuration has no customers.
+func (m *Module) accountOf(req *forward.Request) *forward.UseAccount {
+	if !req.HasCustomers {
+		return nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c := req.Customer; c != nil {
+		return m.use.Account(m.now(), c.Name, c.Quota.Rate)
+	}
+	return m.use.Account(m.now(), "", 0)
+}
+
 // notReadyRetryAfter is the delay after which a caller may retry at a VM that has no route table yet. A VM that has just
 // started usually receives one within this time.
 const notReadyRetryAfter = 300 * time.Millisecond
@@ -233,6 +253,9 @@
 		if m.cold.book != nil {
 			m.cold.book.Prune(now.Add(-pruneAfter))
 		}
+		if m.use != nil {
+			m.use.Prune(now)
+		}
 	}
 }
 
@@ -270,6 +293,7 @@
 	scope                             tally.Scope
 	first, retries, hedges, cancelled tally.Counter
 	granted, undelivered              tally.Counter
+	refusedEarly                      tally.Counter
 	latency                           tally.Histogram
 	leaving, pauses                   tally.Counter
 	unresponsiveZones                 tally.Gauge
@@ -284,7 +308,7 @@
 	}
 	return metrics{
 		scope: s, first: attempts("first"), retries: attempts("retry"), hedges: attempts("hedge"),
-		cancelled: s.Counter("attempts_cancelled"), granted: s.Counter("extras_granted"), undelivered: s.Counter("undelivered"), latency: s.Histogram("latency", latencyBuckets),
+		cancelled: s.Counter("attempts_cancelled"), granted: s.Counter("extras_granted"), undelivered: s.Counter("undelivered"), refusedEarly: s.Counter("refused_early"), latency: s.Histogram("latency", latencyBuckets),
 		leaving: s.Counter("leaves_leaving"), pauses: s.Counter("leaf_pauses"),
 		unresponsiveZones: s.Gauge("silent_zones"),
 	}
