Return the comparison of leaves as values

Cause: an operator cannot see which leaf a request would get, and a second calculation for display could differ from the choice. Change: Choose and the new Compare share the standing and the cost of a leaf and the pick among them; Compare changes nothing and draws no random number. Run.EarlyRefusal, Budget.Use, GrantBook.Use, ColdBook.HasUnit and ServiceUse.Copy read what requests use.

--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -53,19 +53,34 @@
 // TryExtra counts an extra attempt if the budget allows it, and reports whether it does.
 func (b *Budget) TryExtra(now time.Time, l BudgetLimits, hedge bool) bool {
 	c := b.cell(now, l.Window)
-	var first, extra float64
+	if u := b.Use(now, l, hedge); !u.AllowsOne() {
+		return false
+	}
+	c.extra++
+	return true
+}
+
+// BudgetUse is what the attempts of one VM at a service have used of its budget.
+type BudgetUse struct {
+	// First and Extra are the attempts in the window, and Allowed is how many extra ones are allowed in it.
+	First, Extra, Allowed float64
+}
+
+// AllowsOne reports whether one more extra attempt is allowed.
+func (u BudgetUse) AllowsOne() bool { return u.Extra+1 <= u.Allowed }
+
+// Use returns the use of the budget for hedges or for retries. It counts nothing.
+func (b *Budget) Use(now time.Time, l BudgetLimits, hedge bool) (u BudgetUse) {
+	step := now.UnixNano() / int64(budgetStep)
 	for _, x := range b.cells {
-		if c.step-x.step < int64(len(b.cells)) {
-			first, extra = first+x.first, extra+x.extra
+		if step-x.step < int64(len(b.cells)) {
+			u.First, u.Extra = u.First+x.first, u.Extra+x.extra
 		}
 	}
-	allowed := l.Ratio*first + l.Slack
+	u.Allowed = l.Ratio*u.First + l.Slack
 	if hedge {
-		allowed *= 1 - hedgeReserve
+		u.Allowed *= 1 - hedgeReserve
 	}
-	if extra+1 > allowed+b.rounding {
-		return false
-	}
-	c.extra++
-	return true
+	u.Allowed += b.rounding
+	return u
 }
--- a/internal/forward/cold.go
+++ b/internal/forward/cold.go
@@ -56,6 +56,12 @@
 	return false, true
 }
 
+// HasUnit reports whether Reserve would take a unit for a leaf. It takes and requests none.
+func (b *ColdBook) HasUnit(now time.Time, leaf leaves.Key) bool {
+	c := b.leaves[leaf]
+	return c != nil && c.units > 0 && now.Before(c.expiresAt)
+}
+
 // Release puts back a unit that Reserve has taken and that was not used. It expires as before.
 func (b *ColdBook) Release(leaf leaves.Key) {
 	if c := b.leaves[leaf]; c != nil {
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -116,6 +116,28 @@
 	return ExtraDenied, false
 }
 
+// PoolUse is what an entry VM knows of the pool of extra attempts of a service.
+type PoolUse struct {
+	// Granted is the number of unused grants. Until DeniedUntil no further ones are requested; it is zero after no recent denial.
+	Granted     int
+	DeniedUntil time.Time
+}
+
+// Use returns what is known of the pool for a service. It takes and requests nothing.
+func (g *GrantBook) Use(now time.Time, service model.ServiceName) (u PoolUse) {
+	s := g.services[service]
+	if s == nil {
+		return u
+	}
+	if now.Before(s.expiresAt) {
+		u.Granted = s.granted
+	}
+	if now.Before(s.deniedUntil) {
+		u.DeniedUntil = s.deniedUntil
+	}
+	return u
+}
+
 // Withdraw records that the request of Take that was made at the given time is not sent.
 func (g *GrantBook) Withdraw(service model.ServiceName, requestedAt time.Time) {
 	if s := g.services[service]; s != nil && s.requestedAt.Equal(requestedAt) {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -175,13 +175,7 @@
 // available again.
 func (r *Run) Step(now time.Time) (sends []Send, response *Response, wake time.Time) {
 	if !r.sent {
-		if response = r.refuseUnfinishable(now); response == nil {
-			response = r.refusePaused(now)
-		}
-		if response == nil && !r.begun {
-			response = r.refuseFull(now)
-		}
-		if response != nil {
+		if response = r.EarlyRefusal(now); response != nil {
 			return nil, response, now
 		}
 	}
@@ -215,6 +209,18 @@
 	return sends, nil, wake
 }
 
+// EarlyRefusal returns the refusal of a request of which nothing was sent, or nil if it can be sent.
+func (r *Run) EarlyRefusal(now time.Time) *Response {
+	refusal := r.refuseUnfinishable(now)
+	if refusal == nil {
+		refusal = r.refusePaused(now)
+	}
+	if refusal == nil && !r.begun {
+		refusal = r.refuseFull(now)
+	}
+	return refusal
+}
+
 // End makes the next Step return a response, since the VM is about to end.
 func (r *Run) End(now time.Time) {
 	r.endBy, r.deadline = now, earlier(r.deadline, now)
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -135,6 +135,8 @@
 	leaves  map[leaves.Key]*leafStats
 	routes  map[string]*latencies
 	zones   map[model.AvailabilityZone]*zoneStats
+	// unobserved stands for leaves without observations. It is not changed.
+	unobserved leafStats
 	// zonesScannedAt is when the availability zones were last evaluated.
 	zonesScannedAt time.Time
 	// rejectedAt is when a full leaf last rejected a request.
@@ -175,71 +177,32 @@
 // leaving or has asked for a pause is never chosen. outliers holds the leaves with a high rate of bad attempts across
 // all entry VMs.
 func (t *Tracker) Choose(now time.Time, route string, list, tried []*leaves.Member, outliers leaves.Outliers, connections Connections) *leaves.Member {
-	var best, ejected *leaves.Member
-	var bestCost float64
+	var p pick
 	typical := t.typicalLatency(route)
 	for _, m := range list {
-		if slices.ContainsFunc(tried, func(x *leaves.Member) bool { return x.ID == m.ID }) || connections.AvailableConnections(m) <= 0 {
+		if slices.ContainsFunc(tried, func(x *leaves.Member) bool { return x.ID == m.ID }) {
 			continue
 		}
-		s := t.statsOf(m)
-		if s.refuses(now) {
-			continue
-		}
-		if now.Before(s.ejectedUntil) || s.ejections > 0 && len(s.inFlight) > 0 || t.zoneOf(m.AvailabilityZone).unresponsive {
-			if ejected == nil || s.ejectedUntil.Before(t.statsOf(ejected).ejectedUntil) {
-				ejected = m
-			}
-			continue
-		}
-		cost := t.cost(now, route, m, s, typical, outliers[m.Key().Incarnation])
-		if !connections.Prefers(m) {
-			cost *= notPreferredPenalty
-		}
-		if best == nil || cost < bestCost {
-			best, bestCost = m, cost
-		}
-	}
-	if best == nil {
-		return ejected
-	}
-	return best
-}
-
-// cost returns the expected latency of a leaf, weighted with its failures, in units of the typical latency of the route.
-// badRate is the rate of bad attempts at the leaf across all entry VMs, if it is an outlier.
-func (t *Tracker) cost(now time.Time, route string, m *leaves.Member, s *leafStats, typical time.Duration, badRate float64) float64 {
-	var cost, latencyRatio float64
-	jitter := costJitter
-	if t.options.Choice == ChoiceWork {
-		cost, latencyRatio, jitter = t.finishRatio(now, route, m, s), s.work.current(now), workJitter
-	} else {
-		cost, latencyRatio = s.requestsCost(now, m)
-	}
-	if len(s.inFlight) > 0 {
-		if age := now.Sub(s.inFlight[0].startedAt); float64(age) > stallFactor*latencyRatio*float64(typical) {
-			cost += float64(age) / float64(typical)
+		s := t.observed(m)
+		standing := t.standing(now, m, s, connections)
+		cost := 0.0
+		if standing == StandingEligible {
+			c := t.cost(now, route, m, s, typical, outliers[m.Key().Incarnation], connections.Prefers(m))
+			cost = c.Cost * (1 + t.jitter()*t.random.Float64())
 		}
+		p.add(m, standing, cost, s.ejectedUntil)
 	}
-	if m.AvailabilityZone != t.options.Zone {
-		cost *= zonePenalty
-	}
-	if now.Before(m.WarmAt) {
-		cost *= warmUpPenalty
-	}
-	failureRate := max(s.failureRate*decay(now, s.failureRateAt), badRate)
-	cost *= 1 + failurePenalty*failureRate
-	return cost * (1 + jitter*t.random.Float64())
+	return p.leaf()
 }
 
-// requestsCost returns the expected latency of a leaf by the requests that it has, and its latency ratio.
-func (s *leafStats) requestsCost(now time.Time, m *leaves.Member) (cost, latencyRatio float64) {
+// requestsCost returns the expected latency of a leaf by the requests that it has, its latency ratio, and the number of those requests.
+func (s *leafStats) requestsCost(now time.Time, m *leaves.Member) (cost, latencyRatio, busy float64) {
 	latencyRatio = 1.0
 	if s.latencyRatio != 0 {
 		latencyRatio += (s.latencyRatio - 1) * decay(now, s.latencyRatioAt)
 	}
 	slots := max(m.Slots, 1)
-	busy := float64(len(s.inFlight))
+	busy = float64(len(s.inFlight))
 	if now.Sub(s.loadAt) < maxLoadAge {
 		busy = max(busy, float64(s.load.Running)+float64(s.load.Waiting))
 		if s.load.LatencyRatio > 1 {
@@ -251,7 +214,7 @@
 	}
 	// Requests in the slots slow a leaf a little, and further ones have to wait for a slot.
 	cost = latencyRatio * (1 + 0.25*busy/float64(slots) + max(0, busy+1-float64(slots))/float64(slots))
-	return cost, latencyRatio
+	return cost, latencyRatio, busy
 }
 
 // decay returns the part of an observation that still counts.
--- a/internal/forward/use.go
+++ b/internal/forward/use.go
@@ -42,6 +42,16 @@
 	return a
 }
 
+// Copy returns a copy of the account of a customer, which is new if the customer has none.
+func (u *ServiceUse) Copy(now time.Time, customer string, rate float64) *UseAccount {
+	a := UseAccount{all: u, at: now}
+	if known := u.accounts[customer]; known != nil {
+		a = *known
+	}
+	a.rate = rate
+	return &a
+}
+
 // Add adds work to the account. It is negative where less was done than was added before.
 func (a *UseAccount) Add(now time.Time, work time.Duration) {
 	if a == nil {
--- a/internal/forward/work.go
+++ b/internal/forward/work.go
@@ -128,8 +128,8 @@
 	return 0
 }
 
-// finishRatio returns the expected time until a leaf finishes a request on a route, in units of the cost of the route.
-func (t *Tracker) finishRatio(now time.Time, route string, m *leaves.Member, s *leafStats) float64 {
+// finish returns when a leaf is expected to finish a request on a route.
+func (t *Tracker) finish(now time.Time, route string, m *leaves.Member, s *leafStats) finish {
 	slowness := s.work.current(now)
 	if now.Sub(s.loadAt) < maxLoadAge && s.load.LatencyRatio > 1 {
 		slowness = max(slowness, s.load.LatencyRatio)
@@ -140,11 +140,25 @@
 		n, work = float64(2*slots), max(work, float64(2*slots)*t.work.all.value)
 	}
 	own := t.work.cost(route)
-	finish := (wait(n, work, slots) + own*(1+sharedSlots*min(n/float64(slots), 1))) * slowness
-	// The penalty for another zone applies to the work alone, so that the network counts once.
-	return (finish + t.work.network(t.options.Zone, m.AvailabilityZone)/zonePenalty) / own
+	return finish{
+		slowness: slowness, requests: n, work: work, own: own, network: t.work.network(t.options.Zone, m.AvailabilityZone),
+		atLeaf: (wait(n, work, slots) + own*(1+sharedSlots*min(n/float64(slots), 1))) * slowness,
+	}
+}
+
+// finish is when a leaf is expected to finish a request. Times are in nanoseconds.
+type finish struct {
+	// requests is the number of requests that the leaf is expected to have, and work the work that is left of them.
+	slowness, requests, work float64
+	// own is the cost of the request at a leaf of slowness 1, atLeaf the time until the leaf has finished it, and network how much longer
+	// a reply takes than one from the zone of this VM.
+	own, atLeaf, network float64
 }
 
+// ratio returns the time in units of the cost of the request. The penalty for another zone applies to the work alone, so that the
+// network counts once.
+func (f *finish) ratio() float64 { return (f.atLeaf + f.network/zonePenalty) / f.own }
+
 // expectWork sets the expected cost of an attempt that is started, and its wait at the leaf.
 func (t *Tracker) expectWork(now time.Time, route string, m *leaves.Member, s *leafStats, a *inFlightAttempt) {
 	slowness := s.work.current(now)
--- a/internal/forward/zones.go
+++ b/internal/forward/zones.go
@@ -80,6 +80,11 @@
 // UnresponsiveZones lists the availability zones from which no leaf replies, in the order of their names.
 func (t *Tracker) UnresponsiveZones(now time.Time) (out []model.AvailabilityZone) {
 	t.scanZones(now)
+	return t.KnownUnresponsiveZones()
+}
+
+// KnownUnresponsiveZones lists the same availability zones as of the last evaluation.
+func (t *Tracker) KnownUnresponsiveZones() (out []model.AvailabilityZone) {
 	for name, z := range t.zones {
 		if z.unresponsive {
 			out = append(out, name)
