Document the explanation of a request, and name why a leaf is not allowed

Cause: operators need the meaning of each field; evacuated leaves and leaves of other regions were not told apart; hedges were shown as allowed on routes whose requests may run only once.

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -312,3 +312,31 @@
 	_, decided = a.Take(start.Add(returnExpiry), testKey, l, 1)
 	require.False(t, decided)
 }
+
+// Guards against units that are taken, or an allowance that is created, by showing what is known of it.
+func TestKnownCreditTakesNothing(t *testing.T) {
+	now, key, limit := time.Unix(1000, 0), Key{Kind: KindCustomer, Name: "c"}, Limit{Rate: 1, Burst: 4, Slack: 4, Version: 1}
+	a, untouched := NewAsker(1, rand.New(rand.NewPCG(1, 1))), NewAsker(1, rand.New(rand.NewPCG(1, 1)))
+	require.Equal(t, CreditUnknown, a.Known(now, key, limit).Credit)
+	require.Equal(t, untouched, a)
+	a.Answered(now, key, limit, Answer{RetryAfter: 300 * time.Millisecond})
+	require.Equal(t, Known{Credit: CreditDenied, RetryAfter: 300 * time.Millisecond}, a.Known(now, key, limit))
+	raised := limit
+	raised.Version = 2
+	require.Equal(t, CreditUnknown, a.Known(now, key, raised).Credit, "the denial was for an earlier limit")
+	a.Return(now, key, 2)
+	for range 3 {
+		require.Equal(t, Known{Credit: CreditAvailable, Units: 2}, a.Known(now, key, limit))
+	}
+
+	o := NewOwner(now, "a", []model.AvailabilityZone{"a"}, rand.New(rand.NewPCG(1, 1)))
+	_, ok := o.Tokens(now, key)
+	require.False(t, ok)
+	require.Zero(t, o.Keys())
+	o.Ask(now, Ask{Key: key, Limit: limit, N: 1}, false, &Effects{})
+	tokens, ok := o.Tokens(now.Add(time.Second), key)
+	require.True(t, ok)
+	require.InDelta(t, 2, tokens, 1e-9, "one of two is used, and one is added in a second")
+	later, _ := o.Tokens(now.Add(2*time.Second), key)
+	require.InDelta(t, 3, later, 1e-9)
+}
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -126,7 +126,8 @@
 	}
 	fmt.Fprintf(w, "service %s (share %.3g): %s: %s\n", s.Service, s.Share, chosen, s.Why)
 	printRefusal(w, "  ", s.Refusal)
-	fmt.Fprintf(w, "  extra attempts: %v used, up to %.1f retries and %.1f hedges now%s\n", s.Extras.Used, s.Extras.RetriesUpTo, s.Extras.HedgesUpTo, poolText(&s.Extras))
+	fmt.Fprintf(w, "  extra attempts of this VM: %v used; retry %s (up to %.1f), hedge %s (up to %.1f)%s\n", s.Extras.Used,
+		allowedText(s.Extras.RetryAllowed), s.Extras.RetriesUpTo, allowedText(s.Extras.HedgeAllowed), s.Extras.HedgesUpTo, poolText(&s.Extras))
 	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(t, "  LEAF\tZONE\tSTANDING\tCOST\tFINISH\tNETWORK\tWORK LEFT\tREQUESTS\tIN FLIGHT\tCONNECTIONS\tSLOWNESS\tFAILURES\tOUTLIER\tNOTES")
 	for i := range s.Candidates {
@@ -137,6 +138,13 @@
 	_ = t.Flush() // It fails only if the output is closed, and then nobody reads it.
 }
 
+func allowedText(allowed bool) string {
+	if allowed {
+		return "allowed"
+	}
+	return "not allowed"
+}
+
 func poolText(e *operatorapi.ExplainedExtras) string {
 	switch {
 	case !e.Pooled:
@@ -156,10 +164,13 @@
 
 func notesText(c *operatorapi.Candidate) string {
 	var notes []string
+	if c.ColdUntil != nil {
+		notes = append(notes, "cold until "+c.ColdUntil.Format(time.RFC3339Nano))
+	}
 	for _, n := range []struct {
 		applies bool
 		text    string
-	}{{c.Possible, "may be chosen"}, {c.Full, "full"}, {c.Cold, "cold"}, {c.Stalled, "stalled"}, {c.OtherZone, "other zone"}, {!c.Preferred, "not preferred"}} {
+	}{{c.Possible, "may be chosen"}, {c.Full, "full"}, {c.Stalled, "stalled"}, {c.OtherZone, "other zone"}, {!c.Preferred, "not preferred"}} {
 		if n.applies {
 			notes = append(notes, n.text)
 		}
--- a/internal/cli/script_test.go
+++ b/internal/cli/script_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
@@ -59,6 +60,10 @@
 
 // serve simulates a VM. The author of a change and the name of a service select the answer.
 func serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == operatorapi.PathExplain {
+		serveExplanation(w, r)
+		return
+	}
 	if r.URL.Path != operatorapi.PathConfig {
 		answer := callerapi.Answer{Outcome: filepath.Base(r.URL.Path), Coverage: 0.5, Snapshot: "1.2", Parts: []callerapi.Part{{Shard: 3, Coverage: 1, Body: []byte("found")}}}
 		_ = json.NewEncoder(w).Encode(answer)
@@ -77,3 +82,27 @@
 		_ = json.NewEncoder(w).Encode(operatorapi.ApplyResponse{Outcome: "accepted", Revision: *req.BasedOn + 1, ChangeID: req.ChangeID})
 	}
 }
+
+// serveExplanation simulates an entry VM. A key in the URL is answered with a failure.
+func serveExplanation(w http.ResponseWriter, r *http.Request) {
+	var req operatorapi.ExplainRequest
+	_ = json.NewDecoder(r.Body).Decode(&req)
+	switch {
+	case req.Host == "drop":
+		panic(http.ErrAbortHandler)
+	case req.Path[0] != '/' || r.URL.RawQuery != "":
+		w.WriteHeader(http.StatusBadRequest)
+		_ = json.NewEncoder(w).Encode(operatorapi.Error{Kind: errs.KindInvalid, Message: "the request has no path", Remedy: "name it"})
+		return
+	}
+	until := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	out := operatorapi.ExplainResponse{Services: []operatorapi.ExplainedService{{
+		Service: "s", Refusal: &operatorapi.ExplainedRefusal{Kind: "refused", Reason: "no leaf", RetryAfterMS: 1000},
+		Extras:     operatorapi.ExplainedExtras{RetryAllowed: true, RetriesUpTo: 1, HedgesUpTo: 0.9},
+		Candidates: []operatorapi.Candidate{{Leaf: "l1", AvailabilityZone: "z", Standing: "paused", Until: &until, Cost: 1.5, MaxCost: 1.65, OtherZone: true}},
+	}}}
+	if req.Key != nil && *req.Key == "secret-1" {
+		out.Customer = &operatorapi.ExplainedCustomer{Name: "one", RatePerS: 5, Burst: 2, Credit: "unknown", Owner: "e2"}
+	}
+	_ = json.NewEncoder(w).Encode(out)
+}
--- a/internal/forward/compare.go
+++ b/internal/forward/compare.go
@@ -13,8 +13,10 @@
 
 // The standings. An ejected leaf, and one of an unresponsive availability zone, is chosen only when no leaf is eligible.
 const (
-	StandingEligible     Standing = "eligible"
-	StandingNotAllowed   Standing = "not_allowed"
+	StandingEligible Standing = "eligible"
+	// StandingEvacuated and StandingOtherRegion mean that the request must not be sent to the leaf.
+	StandingEvacuated    Standing = "evacuated"
+	StandingOtherRegion  Standing = "region_not_allowed"
 	StandingNoConnection Standing = "no_connection"
 	StandingLeaving      Standing = "leaving"
 	StandingPaused       Standing = "paused"
@@ -199,7 +201,7 @@
 // restrict applies a standing for reasons that Choose does not know. A leaf that is not allowed is never compared; a missing unit counts only
 // for a leaf that would be chosen.
 func (c *Candidate) restrict(s Standing) {
-	if s == StandingNotAllowed || s != StandingEligible && (c.Standing == StandingEligible || c.Standing.isFallback()) {
+	if s == StandingEvacuated || s == StandingOtherRegion || s != StandingEligible && (c.Standing == StandingEligible || c.Standing.isFallback()) {
 		c.Standing = s
 	}
 }
--- a/internal/forward/compare_test.go
+++ b/internal/forward/compare_test.go
@@ -117,7 +117,7 @@
 func TestRestrictedLeavesAreNotLikely(t *testing.T) {
 	tracker, _, list, outliers, connections, now := newObservedTracker(ChoiceWork, 3)
 	first := tracker.Compare(now, "r", list, outliers, connections, nil)[0]
-	for _, s := range []Standing{StandingNotAllowed, StandingNoColdUnit} {
+	for _, s := range []Standing{StandingEvacuated, StandingOtherRegion, StandingNoColdUnit} {
 		for _, c := range tracker.Compare(now, "r", list, outliers, connections, func(m *leaves.Member) Standing {
 			if m == first.Leaf {
 				return s
--- a/internal/forward/filter.go
+++ b/internal/forward/filter.go
@@ -39,8 +39,17 @@
 }
 
 // Allows reports whether a request may be sent to a leaf.
-func (f *LeafFilter) Allows(m *leaves.Member) bool {
-	return !slices.Contains(f.evacuated, m.AvailabilityZone) && f.isIn(m.AvailabilityZone, f.routeRegions) && f.isIn(m.AvailabilityZone, f.customerRegions)
+func (f *LeafFilter) Allows(m *leaves.Member) bool { return f.Standing(m) == StandingEligible }
+
+// Standing returns why a request may not be sent to a leaf, or StandingEligible.
+func (f *LeafFilter) Standing(m *leaves.Member) Standing {
+	switch {
+	case slices.Contains(f.evacuated, m.AvailabilityZone):
+		return StandingEvacuated
+	case !f.isIn(m.AvailabilityZone, f.routeRegions) || !f.isIn(m.AvailabilityZone, f.customerRegions):
+		return StandingOtherRegion
+	}
+	return StandingEligible
 }
 
 // isIn reports whether an availability zone is in one of the regions, or there are none.
--- a/internal/modules/forwarder/explain.go
+++ b/internal/modules/forwarder/explain.go
@@ -95,8 +95,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s.Candidates = m.tracker.Compare(now, x.Route.Name, list, view.LeafOutliers, m.transport, func(l *leaves.Member) forward.Standing {
-		if !f.Allows(l) {
-			return forward.StandingNotAllowed
+		if s := f.Standing(l); s != forward.StandingEligible {
+			return s
 		}
 		if _, limited := m.warmUpLimit(now, l); limited && !m.cold.book.HasUnit(now, l.Key()) {
 			return forward.StandingNoColdUnit
--- a/internal/modules/forwarder/explain_test.go
+++ b/internal/modules/forwarder/explain_test.go
@@ -92,7 +92,7 @@
 	}
 	require.Equal(t, map[string]forward.Standing{
 		"warm": forward.StandingEligible, "cold": forward.StandingNoColdUnit, "ejected": forward.StandingEjected,
-		"far": forward.StandingNotAllowed, "gone": forward.StandingNotAllowed,
+		"far": forward.StandingOtherRegion, "gone": forward.StandingEvacuated,
 	}, standings)
 	require.True(t, a.Candidates[0].Likely)
 	require.Equal(t, "warm", a.Candidates[0].Leaf.ID)
--- a/internal/modules/operator/explain.go
+++ b/internal/modules/operator/explain.go
@@ -80,7 +80,7 @@
 		}
 	}
 	for i := range x.Services {
-		out.Services = append(out.Services, encodeService(&x.Services[i]))
+		out.Services = append(out.Services, encodeService(&x.Services[i], x.Route.Repeatable))
 	}
 	return out
 }
@@ -92,11 +92,11 @@
 	return &operatorapi.ExplainedRefusal{Kind: string(r.Kind), Reason: r.Reason, RetryAfterMS: milliseconds(r.RetryAfter)}
 }
 
-func encodeService(s *forward.ServiceExplanation) operatorapi.ExplainedService {
+func encodeService(s *forward.ServiceExplanation, repeatable bool) operatorapi.ExplainedService {
 	out := operatorapi.ExplainedService{
 		Service: string(s.Service), Share: s.Share, Refusal: encodeRefusal(s.Refusal), Candidates: []operatorapi.Candidate{},
 		Extras: operatorapi.ExplainedExtras{
-			RetryAllowed: s.Retries.AllowsOne(), HedgeAllowed: s.Hedges.AllowsOne(), First: s.Retries.First, Used: s.Retries.Extra,
+			RetryAllowed: s.Retries.AllowsOne(), HedgeAllowed: repeatable && s.Hedges.AllowsOne(), First: s.Retries.First, Used: s.Retries.Extra,
 			RetriesUpTo: s.Retries.Allowed, HedgesUpTo: s.Hedges.Allowed,
 		},
 	}
@@ -114,12 +114,16 @@
 }
 
 func encodeCandidate(c *forward.Candidate) operatorapi.Candidate {
-	return operatorapi.Candidate{
+	out := operatorapi.Candidate{
 		Leaf: c.Leaf.ID, Address: c.Leaf.Address, AvailabilityZone: string(c.Leaf.AvailabilityZone), Standing: string(c.Standing), Until: timeOrNil(c.Until),
 		Possible: c.Possible, Cost: c.Cost, MaxCost: c.MaxCost, Full: c.Full, Cold: c.Cold, Stalled: c.Stalled, OtherZone: c.OtherZone, Preferred: !c.NotPreferred,
 		Connections: c.Connections, InFlight: c.InFlight, Requests: c.Requests, WorkLeftMS: milliseconds(c.WorkLeft), Slowness: c.Slowness,
 		FinishMS: milliseconds(c.Finish), NetworkMS: milliseconds(c.Network), FailureRate: c.FailureRate, OutlierRate: c.OutlierRate,
 	}
+	if c.Cold {
+		out.ColdUntil = timeOrNil(c.Leaf.WarmAt)
+	}
+	return out
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/modules/operator/operator_test.go
+++ b/internal/modules/operator/operator_test.go
@@ -295,3 +295,19 @@
 	status, _ = call[operatorapi.Error](t, "GET", server.URL+operatorapi.PathHistory, nil)
 	require.Equal(t, http.StatusTooManyRequests, status)
 }
+
+// Guards against an error that quotes the key of a customer, and against a body that is read without a limit.
+func TestMalformedExplainRequests(t *testing.T) {
+	for _, body := range []string{
+		`{"host":"h","path":"/","key":"secret`, `{"host":"h","path":"/","key":{"secret":1}}`, `{"path":"/","key":"secret"}`, `{"host":"h","path":"x","key":"secret"}`,
+		`{"host":"h","path":"/","key":"secret` + strings.Repeat("x", maxExplainBytes) + `"}`,
+	} {
+		_, err := readExplainRequest(strings.NewReader(body))
+		require.Error(t, err)
+		require.NotContains(t, err.Error(), "secret")
+	}
+	r, err := readExplainRequest(strings.NewReader(`{"host":"h","path":"/","key":""}`))
+	require.NoError(t, err)
+	require.Equal(t, "", *r.Key)
+	require.Equal(t, http.MethodGet, r.Method)
+}
--- a/internal/operatorapi/explain.go
+++ b/internal/operatorapi/explain.go
@@ -86,7 +86,8 @@
 
 // ExplainedExtras is the budget of extra attempts at a service.
 type ExplainedExtras struct {
-	// RetryAllowed and HedgeAllowed report whether the VM's own budget allows one now.
+	// RetryAllowed and HedgeAllowed report whether the VM's own budget allows one now. Requests that may run only once are not hedged,
+	// and are retried only if no leaf has run them.
 	RetryAllowed bool `json:"retry_allowed"`
 	HedgeAllowed bool `json:"hedge_allowed"`
 	// First and Used are the attempts in the window, RetriesUpTo and HedgesUpTo how many extra ones are allowed in it.
@@ -109,16 +110,18 @@
 	Standing string     `json:"standing"`
 	Until    *time.Time `json:"until,omitempty"`
 	// Possible reports whether the random part of the costs can make this leaf the chosen one.
-	Possible    bool    `json:"possible"`
-	Cost        float64 `json:"cost"`
-	MaxCost     float64 `json:"max_cost"`
-	Full        bool    `json:"full"`
-	Cold        bool    `json:"cold"`
-	Stalled     bool    `json:"stalled"`
-	OtherZone   bool    `json:"other_zone"`
-	Preferred   bool    `json:"preferred"`
-	Connections int     `json:"connections"`
-	InFlight    int     `json:"in_flight"`
+	Possible bool    `json:"possible"`
+	Cost     float64 `json:"cost"`
+	MaxCost  float64 `json:"max_cost"`
+	Full     bool    `json:"full"`
+	Cold     bool    `json:"cold"`
+	// ColdUntil is when the warm-up of a cold leaf ends.
+	ColdUntil   *time.Time `json:"cold_until,omitempty"`
+	Stalled     bool       `json:"stalled"`
+	OtherZone   bool       `json:"other_zone"`
+	Preferred   bool       `json:"preferred"`
+	Connections int        `json:"connections"`
+	InFlight    int        `json:"in_flight"`
 	// Requests is the expected number at the leaf, those of other VMs included. WorkLeftMS and NetworkMS are 0 with choice = requests.
 	Requests    float64 `json:"requests"`
 	WorkLeftMS  float64 `json:"work_left_ms"`
