Refill buckets of owners by their place since the last change

Cause: a bucket was refilled by the place that its owner had at the last ask. After an earlier owner had come back, the one that had stood in for it kept the zone's burst and was refilled for the time in between, so that the zone granted both twice. An unused key began with the first units only, so that the first burst of each customer after a start was refused. Buckets of stand-ins were never full and thus never removed; keys of cold leaves would fill the room in the long run.

Change: the module tells the owner when the connected owners of the zone have changed. Buckets are settled at that time, and refilled later only if the owner is the first one. A new bucket has the credit of the time since then, up to its depth, except that of a cold leaf. An owner that becomes a stand-in keeps the first units at most. Buckets of stand-ins are removed after 10 minutes without use.

Tests: go test ./internal/allowance ./internal/modules/allowances passes.

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -312,3 +312,69 @@
 	_, decided = a.Take(start.Add(returnExpiry), testKey, l, 1)
 	require.False(t, decided)
 }
+
+// Guards against a customer whose burst is refused in the first seconds after its first request, although nobody has used its quota.
+func TestUnusedKeyHasTheCreditSinceThisVMIsFirst(t *testing.T) {
+	l := Limit{Rate: 30, Burst: 60, Slack: 24, Version: 1}
+	granted := func(now time.Time, change func(o *Owner)) (n int) {
+		o := NewOwner(start, "az-1", testZones, random())
+		tickTo(o, start, start.Add(time.Second))
+		change(o)
+		tickTo(o, start.Add(time.Second), now)
+		for askOne(o, now, l, 1) {
+			n++
+		}
+		return n
+	}
+	nothing := func(*Owner) {}
+	require.Equal(t, 14, granted(start.Add(time.Second), nothing), "4 units and those of 1 s")
+	require.Equal(t, 24, granted(start.Add(time.Minute), nothing), "the depth")
+	require.Equal(t, 4, granted(start.Add(time.Second), func(o *Owner) { o.OwnersChanged(start.Add(time.Second)) }), "it may have become the first one just now")
+	o := NewOwner(start, "az-1", testZones, random())
+	require.False(t, askOne(o, start.Add(time.Minute), l, 5), "frozen until now")
+	var out Effects
+	o = NewOwner(start, "az-1", testZones, random())
+	tickTo(o, start, start.Add(time.Minute))
+	o.Ask(start.Add(time.Minute), Ask{1, testKey, l, 5}, true, &out)
+	require.Empty(t, out.Replies, "a stand-in has the first units only")
+	cold := Key{KindColdLeaf, "l 1"}
+	o.Ask(start.Add(time.Minute), Ask{2, cold, Limit{Rate: 30, Slack: 5}, 1}, false, &out)
+	require.Empty(t, out.Replies, "a cold leaf's limit binds from the first request")
+}
+
+// Guards against the burst of a zone that is granted twice, and a rate that counts twice, when an owner that had taken over is asked again
+// after the earlier owner has come back.
+func TestOwnerThatIsNoLongerFirstKeepsOnlyFirstUnits(t *testing.T) {
+	l := Limit{Rate: 30, Burst: 300, Slack: 24, Version: 1}
+	o := NewOwner(start, "az-1", testZones, random())
+	require.True(t, askOne(o, start, l, 1))
+	back := start.Add(time.Minute)
+	tickTo(o, start, back)
+	o.OwnersChanged(back)
+	later := back.Add(time.Minute)
+	tickTo(o, back, later)
+	var out Effects
+	o.Ask(later, Ask{1, testKey, l, 5}, true, &out)
+	require.Empty(t, out.Replies)
+	for _, b := range out.Borrows {
+		o.Lent(later, b, 0, true, &out)
+	}
+	require.False(t, out.Replies[0].Answer.Granted)
+	o.OwnersChanged(later)
+	last := later.Add(time.Second)
+	tickTo(o, later, last)
+	require.True(t, askOne(o, last, l, 14), "first again, and refilled for 1 s")
+	require.False(t, askOne(o, last, l, 1))
+}
+
+// Guards against stand-ins whose buckets are never removed, until there is no room for another key.
+func TestUnusedBucketsOfStandInsAreRemoved(t *testing.T) {
+	o := NewOwner(start, "az-1", testZones, random())
+	var out Effects
+	o.Ask(start, Ask{1, testKey, Limit{Rate: 30, Slack: 24, Version: 1}, 1}, true, &out)
+	for _, b := range out.Borrows {
+		o.Lent(start, b, 0, true, &out)
+	}
+	tickTo(o, start, start.Add(idleTime+idleTime/5))
+	require.Zero(t, o.Keys())
+}
--- a/internal/allowance/compare_test.go
+++ b/internal/allowance/compare_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -74,6 +75,8 @@
 	down        bool
 	frozenUntil time.Time
 	frozenAt    time.Time
+	// reached holds the owners of its zone that it was connected to.
+	reached []model.VMName
 }
 
 type customer struct {
@@ -151,7 +154,21 @@
 		}
 	}
 	vm.owner, vm.asker = NewOwner(w.now, w.scope(vm), scopes, w.random), NewAsker(w.zones, w.random)
-	vm.replies = map[uint64]func(Answer){}
+	vm.replies, vm.reached = map[uint64]func(Answer){}, nil
+}
+
+// noteOwners tells an owner when the connections to the others of its zone have changed.
+func (w *world) noteOwners(vm *worldVM) {
+	var reached []model.VMName
+	for _, name := range w.owners[w.scope(vm)] {
+		if name == vm.name || w.connected(vm, w.byName[name]) {
+			reached = append(reached, name)
+		}
+	}
+	if !slices.Equal(reached, vm.reached) {
+		vm.reached = reached
+		vm.owner.OwnersChanged(w.now)
+	}
 }
 
 // addCustomers adds 76 customers with sizes that follow a power law with the exponent 1.2. Each may use 1.6 times its usual rate, and
@@ -273,6 +290,7 @@
 func (w *world) tick(vm *worldVM) {
 	w.deliver(vm, func() {
 		var out Effects
+		w.noteOwners(vm)
 		vm.owner.Tick(w.now, &out)
 		w.apply(vm, &out)
 	})
@@ -290,6 +308,7 @@
 	}
 	w.after(BorrowWait, func() { w.deliver(vm, func() { finish(0, false) }) })
 	w.send(vm, lender, func() {
+		w.noteOwners(lender)
 		units := lender.owner.Lend(w.now, b.Key, b.Limit, b.Units, w.standsIn(lender, b.Key))
 		w.send(lender, vm, func() { finish(units, true) })
 	})
@@ -318,6 +337,7 @@
 		}
 	}
 	handle := func(back func(Answer)) {
+		w.noteOwners(owner)
 		owner.replies[id] = back
 		var out Effects
 		owner.owner.Ask(w.now, Ask{id, c.key, limit, 1}, w.standsIn(owner, c.key), &out)
--- a/internal/allowance/owner.go
+++ b/internal/allowance/owner.go
@@ -97,6 +97,9 @@
 	// standIn reports whether an earlier owner of the zone is connected: the bucket is not refilled then, and units are borrowed from
 	// that owner as well. Otherwise an owner that is slow for some VMs would double the rate of the zone.
 	standIn bool
+	// known reports whether standIn holds since settled. It does not after the owners of the zone or the connections to them have
+	// changed, until the key is used again.
+	known bool
 	// nextRetry is when the last caller that was denied is to retry.
 	nextRetry time.Time
 	lenders   []lenderState
@@ -110,8 +113,11 @@
 	buckets     map[Key]*bucket
 	unreachable []time.Time
 	waiting     map[Key]struct{}
-	lastTick    time.Time
-	nextPrune   time.Time
+	// unchangedSince is since when the connected owners of the zone are the same and this VM has not been frozen. No earlier owner of a
+	// key has granted units of the zone since then if this VM is the first one.
+	unchangedSince time.Time
+	lastTick       time.Time
+	nextPrune      time.Time
 	// prunedFull is when buckets were last removed because there was no room for another one.
 	prunedFull time.Time
 	random     *rand.Rand
@@ -120,7 +126,7 @@
 
 // NewOwner returns the owner of a zone. zones lists all zones; the limits are divided equally among them.
 func NewOwner(now time.Time, self model.AvailabilityZone, zones []model.AvailabilityZone, random *rand.Rand) *Owner {
-	o := &Owner{zones: []model.AvailabilityZone{self}, buckets: map[Key]*bucket{}, waiting: map[Key]struct{}{}, lastTick: now, nextPrune: now.Add(idleTime), random: random}
+	o := &Owner{zones: []model.AvailabilityZone{self}, buckets: map[Key]*bucket{}, waiting: map[Key]struct{}{}, unchangedSince: now, lastTick: now, nextPrune: now.Add(idleTime), random: random}
 	for _, z := range zones {
 		if z != self {
 			o.zones = append(o.zones, z)
@@ -145,7 +151,7 @@
 func (o *Owner) initial(l Limit) float64 { return o.part(max(1, ownerSlackPart*l.Slack)) }
 
 func (o *Owner) settle(now time.Time, b *bucket) {
-	if elapsed := now.Sub(b.settled).Seconds(); elapsed > 0 {
+	if elapsed := now.Sub(b.settled).Seconds(); elapsed > 0 && b.known {
 		if !b.standIn {
 			b.tokens = min(o.depth(b.limit), b.tokens+elapsed*o.part(b.limit.Rate))
 		}
@@ -153,6 +159,30 @@
 	}
 }
 
+// OwnersChanged records that the owners of the zone, or the connections to them, have changed, so that this VM may be an earlier or a later
+// owner of each key than before. It also lets zones be asked again that no VM was connected of.
+func (o *Owner) OwnersChanged(now time.Time) {
+	o.checkGap(now)
+	for _, b := range o.buckets {
+		o.settle(now, b)
+		b.settled, b.known = now, false
+	}
+	o.unchangedSince = now
+	clear(o.unreachable)
+}
+
+// setStandIn records the place of this VM among the owners of a key. A stand-in keeps no more than a new owner begins with, because the
+// earlier owner's bucket holds the zone's burst.
+func (o *Owner) setStandIn(now time.Time, b *bucket, standIn bool) {
+	if b.known && b.standIn != standIn {
+		o.settle(now, b)
+	}
+	if standIn && !b.standIn {
+		b.tokens = min(b.tokens, o.initial(b.limit))
+	}
+	b.standIn, b.known = standIn, true
+}
+
 // bucketFor returns the settled bucket of a key with the newest limit, or nil if the owner has no room for it.
 func (o *Owner) bucketFor(now time.Time, key Key, l Limit, standIn bool) *bucket {
 	b := o.buckets[key]
@@ -166,10 +196,13 @@
 			return nil
 		}
 		b = &bucket{limit: l, tokens: o.initial(l), settled: now, lenders: make([]lenderState, len(o.zones))}
+		if key.Kind != KindColdLeaf { // The limit of a cold leaf has no burst, and binds from the first request.
+			b.settled = o.unchangedSince
+		}
 		o.buckets[key] = b
 	}
+	o.setStandIn(now, b, standIn)
 	o.settle(now, b)
-	b.standIn = standIn
 	if l.Version > b.limit.Version {
 		b.limit = l
 		b.tokens = min(b.tokens, o.depth(l))
@@ -184,7 +217,7 @@
 		for _, b := range o.buckets {
 			b.settled = now
 		}
-		o.lastTick = now
+		o.lastTick, o.unchangedSince = now, now
 	}
 }
 
@@ -371,13 +404,15 @@
 func (o *Owner) Waiting() bool { return len(o.waiting) > 0 }
 
 // prune removes buckets that are full again and unused. A new bucket never holds more than a full one, so that nothing is granted
-// twice.
+// twice. The bucket of a stand-in is not refilled, and is removed after idleTime: otherwise the keys of cold leaves would fill its room.
 func (o *Owner) prune(now time.Time, unused time.Duration) {
 	for key, b := range o.buckets {
 		if len(b.waiting) > 0 || now.Sub(b.used) < unused {
 			continue
 		}
-		if o.settle(now, b); b.tokens+epsilon >= o.depth(b.limit) {
+		o.settle(now, b)
+		isFull, refilled := b.tokens+epsilon >= o.depth(b.limit), b.known && !b.standIn
+		if isFull || !refilled && now.Sub(b.used) >= idleTime {
 			delete(o.buckets, key)
 		}
 	}
--- a/internal/modules/allowances/module.go
+++ b/internal/modules/allowances/module.go
@@ -80,6 +80,8 @@
 	owners       map[model.AvailabilityZone][]model.VMName
 	entryVMs     int
 	connected    map[model.VMName]bool
+	// reached holds the owners of this zone that are connected, or this VM.
+	reached []model.VMName
 	// outgoing holds the asks that wait for owners.
 	outgoing map[model.VMName]*outgoing
 	// slots holds the asks that this owner has not answered yet.
@@ -157,8 +159,19 @@
 	m.notifyOwnersChanged()
 }
 
-// notifyOwnersChanged wakes requests that wait for an owner. It is called with the lock held.
+// notifyOwnersChanged tells the owner on this VM that its place may have changed, and wakes requests that wait for an owner. It is called
+// with the lock held.
 func (m *Module) notifyOwnersChanged() {
+	var reached []model.VMName
+	for _, vm := range m.owners[m.zone] {
+		if vm == m.self || m.connected[vm] {
+			reached = append(reached, vm)
+		}
+	}
+	if !slices.Equal(reached, m.reached) {
+		m.reached = reached
+		m.owner.OwnersChanged(m.now())
+	}
 	close(m.ownersChanged)
 	m.ownersChanged = make(chan struct{})
 }
--- a/internal/modules/allowances/module_test.go
+++ b/internal/modules/allowances/module_test.go
@@ -172,3 +172,17 @@
 	_, err = decodeUnits(nil, 1)
 	require.Error(t, err)
 }
+
+// Guards against an owner that is not told that its place has changed, and refills buckets for time in which it was not the first one.
+func TestOwnerLearnsOfChangedConnections(t *testing.T) {
+	network, modules := cluster(t, 9)
+	m := modules["127.0.0.1"]
+	reached := func() int {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return len(m.reached)
+	}
+	require.Eventually(t, func() bool { return reached() == 3 }, 5*time.Second, time.Millisecond)
+	network.SetLinks(func(_, _ model.VMName) peertest.Link { return peertest.LinkDown })
+	require.Eventually(t, func() bool { return reached() == 1 }, 5*time.Second, time.Millisecond)
+}
