Treat a VM that is not an owner as a stand-in

Cause: while lists of owners differ between VMs, a VM that has left the list is still asked. It found no earlier owner before itself and refilled its buckets while the new owner did so too. So did a VM that has no list yet.

Change: a VM that is not in its own list is a stand-in.

Tests: the new test fails before the change; go test ./internal/modules/allowances passes.

--- a/internal/modules/allowances/module_test.go
+++ b/internal/modules/allowances/module_test.go
@@ -186,3 +186,22 @@
 	network.SetLinks(func(_, _ model.VMName) peertest.Link { return peertest.LinkDown })
 	require.Eventually(t, func() bool { return reached() == 1 }, 5*time.Second, time.Millisecond)
 }
+
+// Guards against a VM that is no longer an owner and refills its buckets while the new owner does so too.
+func TestVMThatIsNoLongerOwnerIsNotRefilled(t *testing.T) {
+	_, modules := cluster(t, 9)
+	m := modules["127.0.0.1"]
+	standsIn := func(list ...model.VMName) bool {
+		m.applyView(&kernel.View{
+			EntryVMs: 9, AllowanceOwners: map[model.AvailabilityZone][]model.VMName{m.zone: list},
+			Routes: &routes.Table{Customers: []routes.Customer{{Name: "c", Quota: routes.Quota{Rate: 1}}}},
+		})
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.standsIn(key)
+	}
+	require.False(t, standsIn(m.self))
+	require.False(t, standsIn(m.self, "gone"))
+	require.True(t, standsIn("gone"))
+	require.True(t, standsIn())
+}
--- a/internal/modules/allowances/owner.go
+++ b/internal/modules/allowances/owner.go
@@ -78,7 +78,8 @@
 	return b.answers
 }
 
-// standsIn reports whether an earlier owner of the key in this zone is connected. It is called with the lock held.
+// standsIn reports whether an earlier owner of the key in this zone is connected, or this VM is not an owner at all: VMs that still have an
+// older list ask it then, and others already ask the new owner. It is called with the lock held.
 func (m *Module) standsIn(key allowance.Key) bool {
 	for _, vm := range allowance.Order(key, m.owners[m.zone]) {
 		if vm == m.self {
@@ -88,7 +89,7 @@
 			return true
 		}
 	}
-	return false
+	return true
 }
 
 // apply delivers answers and sends the requests to other zones. It is called with the lock held.
