Wait for owners although another request was cancelled

Cause: when the context of any request ended while it waited for a connection to an owner, no request waited for the next second. The first seconds after a start are those in which this matters: requests below the limit were refused although an owner was about to be connected.

Change: only a wait of the whole 40 ms counts. It is shorter than the 50 ms that a request waits for its quota, which ended at the same time.

Tests: the new test fails before the change; go test ./internal/modules/allowances passes.

--- a/internal/modules/allowances/asks.go
+++ b/internal/modules/allowances/asks.go
@@ -65,7 +65,7 @@
 	defer cancel()
 	for i := range asks {
 		if pending[i] == nil && !decidedHere[i] {
-			if pending[i] = m.awaitOwner(ownerCtx, asks[i]); pending[i] == nil {
+			if pending[i] = m.awaitOwner(ctx, ownerCtx, asks[i]); pending[i] == nil {
 				answers[i] = m.localAnswer(asks[i])
 			}
 		}
@@ -90,28 +90,30 @@
 
 const (
 	// ownerWait is how long asks wait for a connection to an owner, which takes some round trips after a start of this VM.
-	ownerWait = 50 * time.Millisecond
+	// It is shorter than requests wait for their quota, so that time is left for the answer.
+	ownerWait = 40 * time.Millisecond
 	// ownerWaitPause is how long asks do not wait after no owner was connected in time.
 	ownerWaitPause = time.Second
 )
 
-// awaitOwner passes an ask to its owner as soon as one is connected. It returns nil if none is before ctx ends.
-func (m *Module) awaitOwner(ctx context.Context, a allowance.Ask) *pendingAsk {
+// awaitOwner passes an ask to its owner as soon as one is connected. It returns nil if none is before ownerCtx ends, which is a part of ctx.
+func (m *Module) awaitOwner(ctx, ownerCtx context.Context, a allowance.Ask) *pendingAsk {
 	for {
 		m.mu.Lock()
 		now, changed := m.now(), m.ownersChanged
 		p := m.enqueue(now, a)
-		if p == nil && ctx.Err() != nil {
+		ended := ownerCtx.Err() != nil
+		if p == nil && ended && ctx.Err() == nil { // A request that has ended before says nothing about the owners.
 			m.noOwnerUntil = now.Add(ownerWaitPause)
 		}
-		waits := p == nil && !now.Before(m.noOwnerUntil)
+		waits := p == nil && !ended && !now.Before(m.noOwnerUntil)
 		m.mu.Unlock()
 		if !waits {
 			return p
 		}
 		select {
 		case <-changed:
-		case <-ctx.Done():
+		case <-ownerCtx.Done():
 		}
 	}
 }
--- a/internal/modules/allowances/module_test.go
+++ b/internal/modules/allowances/module_test.go
@@ -220,3 +220,22 @@
 	defer m.mu.Unlock()
 	require.Empty(t, m.loggedAt, "no owner has failed")
 }
+
+// Guards against the first seconds after a start in which no request waits for an owner, because one was cancelled while it waited.
+func TestCancelledRequestDoesNotEndTheWaitForOwners(t *testing.T) {
+	network, modules := cluster(t, 9)
+	m := modules["127.0.0.1"]
+	network.SetLinks(func(_, _ model.VMName) peertest.Link { return peertest.LinkDown })
+	m.applyView(&kernel.View{EntryVMs: 9, AllowanceOwners: map[model.AvailabilityZone][]model.VMName{m.zone: {"gone"}}})
+	waits := func() bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.noOwnerUntil.IsZero()
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.True(t, m.Take(ctx, key, limit, 1).Local)
+	require.True(t, waits())
+	require.True(t, m.Take(t.Context(), key, limit, 1).Local)
+	require.False(t, waits())
+}
