Send no asks to owners that nobody waits for

Cause: an ask that waited in the queue for a slow owner was sent after its request had gone on. The owner granted a unit, which was kept and sent back.

Change: such asks are left out of the message.

Tests: the new test fails before the change; go test -race ./internal/modules/allowances passes.

--- a/internal/modules/allowances/asks.go
+++ b/internal/modules/allowances/asks.go
@@ -160,7 +160,8 @@
 	return p
 }
 
-// send sends the queued asks of an owner until none is left.
+// send sends the queued asks of an owner until none is left. It leaves out those that nobody waits for any more, so that an owner that is
+// slow is not asked for units that are not used.
 func (m *Module) send(owner model.VMName, o *outgoing) {
 	for {
 		m.mu.Lock()
@@ -174,7 +175,11 @@
 			m.mu.Unlock()
 			return
 		}
+		batch = slices.DeleteFunc(batch, func(p *pendingAsk) bool { return p.abandoned })
 		m.mu.Unlock()
+		if len(batch) == 0 {
+			continue
+		}
 		answers, err := m.call(owner, batch)
 		if err != nil {
 			m.ownerFailed(owner, err)
--- a/internal/modules/allowances/module_test.go
+++ b/internal/modules/allowances/module_test.go
@@ -239,3 +239,20 @@
 	require.True(t, m.Take(t.Context(), key, limit, 1).Local)
 	require.False(t, waits())
 }
+
+// Guards against a slow owner that grants units to requests that have stopped waiting.
+func TestAbandonedAsksAreNotSent(t *testing.T) {
+	_, modules := cluster(t, 9)
+	m, other := modules["127.0.0.1"], modules["127.0.0.4"]
+	o := &outgoing{messages: 1}
+	for i := range 3 {
+		o.queue = append(o.queue, &pendingAsk{ask: allowance.Ask{Key: key, Limit: limit, N: 1}, result: make(chan askResult, 1), abandoned: i != 1})
+	}
+	live := o.queue[1]
+	m.send(other.self, o)
+	require.Len(t, live.result, 1)
+	other.mu.Lock()
+	defer other.mu.Unlock()
+	counts := other.owner.Counts()
+	require.Equal(t, uint64(1), counts.Granted+counts.Denied)
+}
