Tell denied callers when credit is expected, and borrow after a raise

Cause: the first denied caller was told the time of a whole unit although the bucket had a part of it. The queue of retry times stayed 10 s long after the customer was below its limit again, since callers wait for a part of their time only and most never come back. After a limit was raised, the times and the pauses of dry zones still were those of the previous rate.

Change: the first retry time counts what the bucket has; the queue is empty once a grant leaves a unit; a new version resets both.

Tests: the two new tests fail before the change; go test ./internal/allowance ./internal/modules/allowances passes.

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -378,3 +378,52 @@
 	tickTo(o, start, start.Add(idleTime+idleTime/5))
 	require.Zero(t, o.Keys())
 }
+
+// deny asks for n units that no zone lends, and returns after which time the caller is to retry.
+func deny(t *testing.T, o *Owner, now time.Time, l Limit, n int) time.Duration {
+	var out Effects
+	o.Ask(now, Ask{1, testKey, l, n}, false, &out)
+	for _, b := range out.Borrows {
+		o.Lent(now, b, 0, true, &out)
+	}
+	require.False(t, out.Replies[0].Answer.Granted)
+	return out.Replies[0].Answer.RetryAfter
+}
+
+// Guards against callers that are told to come back long after there is credit again: when the bucket lacks a part of a unit, when it has
+// been refilled since the last denials, and when the limit has been raised.
+func TestRetryTimeIsWhenCreditIsExpected(t *testing.T) {
+	o := NewOwner(start, "az-1", testZones, random())
+	l := Limit{Rate: 3, Burst: 30, Slack: 15, Version: 1} // A zone begins with 2.5 units and gets one a second.
+	require.True(t, askOne(o, start, l, 2))
+	require.InDelta(t, 0.5, deny(t, o, start, l, 1).Seconds(), 0.01)
+	require.InDelta(t, 1.5, deny(t, o, start, l, 1).Seconds(), 0.01)
+	for range 30 {
+		deny(t, o, start, l, 1)
+	}
+	now := start.Add(4 * time.Second)
+	tickTo(o, start, now)
+	require.True(t, askOne(o, now, l, 1), "callers that were denied have not come back, and 3.5 units are left")
+	require.True(t, askOne(o, now, l, 3))
+	require.InDelta(t, 0.5, deny(t, o, now, l, 1).Seconds(), 0.01)
+	for range 30 {
+		deny(t, o, now, l, 1)
+	}
+	raised := Limit{Rate: 300, Burst: 30, Slack: 15, Version: 2}
+	require.Less(t, deny(t, o, now, raised, 1), 10*time.Millisecond)
+	var out Effects
+	o.Ask(now, Ask{2, testKey, raised, 1}, false, &out)
+	require.Empty(t, out.Borrows, "the other zones have just been asked")
+}
+
+// Guards against a raised limit that is not borrowed for, because the other zones had nothing to lend of the previous one.
+func TestRaisedLimitIsBorrowedForAtOnce(t *testing.T) {
+	o := NewOwner(start, "az-1", testZones, random())
+	l := Limit{Rate: 0.3, Version: 1}
+	deny(t, o, start, l, 5)
+	for _, raised := range []Limit{l, {Rate: 300, Version: 2}} {
+		var out Effects
+		o.Ask(start.Add(time.Millisecond), Ask{2, testKey, raised, 5}, false, &out)
+		require.Equal(t, raised.Version == 2, len(out.Borrows) == 2)
+	}
+}
--- a/internal/allowance/owner.go
+++ b/internal/allowance/owner.go
@@ -206,6 +206,10 @@
 	if l.Version > b.limit.Version {
 		b.limit = l
 		b.tokens = min(b.tokens, o.depth(l))
+		b.nextRetry = time.Time{} // It and the pauses of lenders were computed from the previous rate.
+		for i := range b.lenders {
+			b.lenders[i].notBefore, b.lenders[i].dryAnswers = time.Time{}, 0
+		}
 	}
 	b.used = now
 	return b
@@ -243,6 +247,9 @@
 
 func (o *Owner) grant(b *bucket, id uint64, n int, out *Effects) {
 	b.tokens = max(0, b.tokens-float64(n))
+	if b.tokens+epsilon >= 1 { // There is credit again for callers that were denied.
+		b.nextRetry = time.Time{}
+	}
 	o.counts.Granted++
 	out.Replies = append(out.Replies, Reply{id, Answer{Granted: true}})
 }
@@ -358,13 +365,15 @@
 	delete(o.waiting, key)
 }
 
-// retryAfter returns a later time to each caller that is denied, at the rate of the bucket, so that they do not all retry at once.
+// retryAfter returns a later time to each caller that is denied, at the rate of the bucket, so that they do not all retry at once. The first
+// one is to retry when the bucket has the units.
 func (o *Owner) retryAfter(now time.Time, b *bucket, n int) time.Duration {
-	per := time.Duration(float64(n) / max(o.part(b.limit.Rate), 0.01) * float64(time.Second))
+	lacking := float64(n)
 	if b.nextRetry.Before(now) {
 		b.nextRetry = now
+		lacking = max(0, lacking-b.tokens)
 	}
-	b.nextRetry = b.nextRetry.Add(per)
+	b.nextRetry = b.nextRetry.Add(time.Duration(lacking / max(o.part(b.limit.Rate), 0.01) * float64(time.Second)))
 	if after := b.nextRetry.Sub(now); after <= maxRetryAfter {
 		return after
 	}
