Compare designs while two owners of a zone are cut off from each other

The second owner is asked by itself and by VMs for which the first was slow, and both refill.

Change: the comparison has the fault.

--- a/internal/allowance/compare_test.go
+++ b/internal/allowance/compare_test.go
@@ -102,12 +102,14 @@
 	customers []*customer
 	cutZone   model.AvailabilityZone
 	cutAt     time.Time
-	orders    map[orderKey][]model.VMName
-	messages  int
-	between   int
-	requests  int
-	nextID    uint64
-	locals    int
+	// cutPair holds two VMs that cannot reach each other, since cutAt, while others reach both.
+	cutPair  [2]*worldVM
+	orders   map[orderKey][]model.VMName
+	messages int
+	between  int
+	requests int
+	nextID   uint64
+	locals   int
 }
 
 func newWorld(l load, seed uint64) *world {
@@ -193,6 +195,9 @@
 func (w *world) after(d time.Duration, fn func()) { heap.Push(&w.events, event{w.now.Add(d), fn}) }
 
 func (w *world) cut(a, b *worldVM) bool {
+	if w.cutPair == [2]*worldVM{a, b} || w.cutPair == [2]*worldVM{b, a} {
+		return true
+	}
 	return a.zone != b.zone && (a.zone == w.cutZone || b.zone == w.cutZone)
 }
 
@@ -465,6 +470,12 @@
 	return w.byName[w.order(w.customers[4].key, w.scope(w.vmList[0]))[0]]
 }
 
+// cutHotOwners separates the first two owners of the customer that sends all the time, in the zone of the first VM.
+func cutHotOwners(w *world) {
+	order := w.order(w.customers[2].key, w.scope(w.vmList[0]))
+	w.cutPair, w.cutAt = [2]*worldVM{w.byName[order[0]], w.byName[order[1]]}, w.now
+}
+
 func freeze(d time.Duration) func(*world) {
 	return func(w *world) { vm := w.hotOwner(); vm.frozenAt, vm.frozenUntil = w.now, w.now.Add(d) }
 }
@@ -486,6 +497,14 @@
 		30 * time.Second: func(w *world) { w.hotOwner().down = true },
 		35 * time.Second: func(w *world) { vm := w.hotOwner(); vm.down = false; w.boot(vm) },
 	}}},
+	{"two owners cut off from each other, 20 s", load{fault: map[time.Duration]func(*world){
+		30 * time.Second: func(w *world) {
+			if w.design != equalShares {
+				cutHotOwners(w)
+			}
+		},
+		50 * time.Second: func(w *world) { w.cutPair = [2]*worldVM{} },
+	}}},
 	{"all VMs restarted", load{fault: map[time.Duration]func(*world){
 		30 * time.Second: func(w *world) {
 			for _, vm := range w.vmList {
@@ -509,7 +528,7 @@
 				r := w.result()
 				worst = result{max(worst.use, r.use), max(worst.excess, r.excess), max(worst.refused, r.refused), max(worst.hotUse, r.hotUse), max(worst.messages, r.messages), max(worst.between, r.between)}
 			}
-			t.Logf("%-36s %-13s bound used %4.2f, excess %3.0f, refused below the limit %.5f, used by the one above it %4.2f, messages %4.2f, between zones %4.2f", f.name, d, worst.use, worst.excess, worst.refused, worst.hotUse, worst.messages, worst.between)
+			t.Logf("%-42s %-13s bound used %4.2f, excess %3.0f, refused below the limit %.5f, used by the one above it %4.2f, messages %4.2f, between zones %4.2f", f.name, d, worst.use, worst.excess, worst.refused, worst.hotUse, worst.messages, worst.between)
 			if d != zoneSlices {
 				continue
 			}
