State the zone to control VMs before anything is limited

Cause: entry VMs stated their zone only once the route table had limits. A control VM that a VM watches lightly learned it up to a hold time later. When the first limit came into force, control VMs thus chose owners among different entry VMs, so that for some seconds several VMs of a zone each granted its slice; and all of them chose only at the next scan.

Change: the zone is stated wherever the settings list the zones. Owners are still requested by VMs that need them only. The assertion that a VM states no zone while nothing is limited is replaced by one that it requests, and is sent, no owners.

The cause was found by reading, not by a run of all VMs.

--- a/internal/modules/membership/owners.go
+++ b/internal/modules/membership/owners.go
@@ -162,15 +162,16 @@
 	m.control.MarkDirty()
 }
 
-// requestOwners adds to a watch request which owners this VM has, if it needs them. Only the primary control VM is asked.
+// requestOwners adds to a watch request the zone of this VM, and which owners it has if it needs them. Only the primary control VM is asked.
+// The zone is stated although nothing is limited yet: light watch requests are held for seconds, and control VMs that learn the zones then
+// would choose different owners when the first limit comes into force.
 func (m *Module) requestOwners(vm model.VMName, req *membershippb.WatchRequest) {
 	req.AvailabilityZone, req.OwnersDigest = "", 0
-	if m.isControl || !m.control.View().NeedsAllowances(m.settings) {
+	if m.isControl || len(m.settings.ZoneRegions) == 0 {
 		return
 	}
-	req.AvailabilityZone = string(m.zone)
-	req.OwnersDigest = anyOwners
-	if m.primaryControlVM() == vm {
+	req.AvailabilityZone, req.OwnersDigest = string(m.zone), anyOwners
+	if m.primaryControlVM() == vm && m.control.View().NeedsAllowances(m.settings) {
 		req.OwnersDigest = m.owners.received.Load()
 	}
 }
--- a/internal/modules/membership/owners_test.go
+++ b/internal/modules/membership/owners_test.go
@@ -68,10 +68,11 @@
 	require.Empty(t, req.GetAvailabilityZone())
 	m.settings = &settings.Settings{ZoneRegions: map[model.AvailabilityZone]string{"z2": "r"}}
 	m.requestOwners("b", req)
-	require.Empty(t, req.GetAvailabilityZone(), "nothing is limited")
+	require.Equal(t, "z2", req.GetAvailabilityZone(), "the control VMs know the zones when the first limit comes into force")
+	require.Equal(t, anyOwners, req.GetOwnersDigest(), "nothing is limited, so no owners are requested")
+	require.False(t, (&Module{owners: allowanceOwners{digest: 1}}).newOwners(req))
 	m.control.SetTestView(&kernel.View{Routes: &routes.Table{Customers: []routes.Customer{{Name: "c", Quota: routes.Quota{Rate: 1}}}}})
 	m.requestOwners("b", req)
-	require.Equal(t, "z2", req.GetAvailabilityZone())
 	require.Zero(t, req.GetOwnersDigest())
 	m.requestOwners("a", req)
 	require.Equal(t, anyOwners, req.GetOwnersDigest())
