Send owners to VMs without any while a control VM starts

Cause: after the first start of all VMs no control VM sent owners for 5 s, and requests below the limits were refused once the local slices were used up. A control VM that had been away sent its old owners to all VMs that follow it, until it chose new ones 5 s later.

Change: a control VM without stored owners chooses them once it knows the zones of all entry VMs that watch it and none has been added for 1 s. In its first 5 s a control VM sends owners only to VMs that have none.

Not run with whole VMs.

--- a/internal/modules/membership/owners.go
+++ b/internal/modules/membership/owners.go
@@ -44,13 +44,21 @@
 	received atomic.Uint64
 	// chosenAt is when the lists last changed.
 	chosenAt time.Time
+	// newZoneAt is when an entry VM last stated its zone for the first time.
+	newZoneAt time.Time
+	// provisional reports that this control VM has just started: its lists are old ones, or lack VMs that have not connected to it yet.
+	// They are sent to VMs without any.
+	provisional bool
 }
 
 // noteZone records the zone of an entry VM that has sent a watch request.
-func (a *allowanceOwners) noteZone(vm model.VMName, zone string) {
+func (a *allowanceOwners) noteZone(now time.Time, vm model.VMName, zone string) {
 	if zone == "" {
 		return
 	}
+	if _, ok := a.zones[vm]; !ok {
+		a.newZoneAt = now
+	}
 	if a.zones == nil {
 		a.zones = map[model.VMName]model.AvailabilityZone{}
 	}
@@ -91,6 +99,12 @@
 	return cmp.Or(d.Sum64(), 1)
 }
 
+// knowsZones reports whether the zones of all entry VMs that watch a control VM that has just started are known, and no VM has been added
+// for a while, as after the first start of all VMs.
+func (m *Module) knowsZones(now time.Time) bool {
+	return len(m.owners.zones) > 0 && len(m.owners.zones) == len(m.entryLastWatch) && now.Sub(m.owners.newZoneAt) >= ownersInterval
+}
+
 // updateOwners chooses the owners on a control VM. One that has just started waits until the entry VMs have connected, and entry VMs
 // keep to the owners that they have.
 func (m *Module) updateOwners(now time.Time) {
@@ -99,7 +113,16 @@
 			delete(m.owners.zones, vm)
 		}
 	}
-	if now.Sub(m.started) <= entryCountDelay || !m.owners.choose(now) {
+	starting := now.Sub(m.started) <= entryCountDelay
+	if starting && (m.owners.digest != 0 || !m.knowsZones(now)) {
+		return
+	}
+	confirmed := m.owners.provisional && !starting
+	m.owners.provisional = starting
+	if !m.owners.choose(now) {
+		if confirmed {
+			m.notifyWatchers()
+		}
 		return
 	}
 	total := 0
@@ -113,13 +136,16 @@
 // restoreOwners puts the owners from before a restart into force, so that entry VMs have them at once after a restart of all VMs.
 func (m *Module) restoreOwners(stored ownerLists) {
 	if len(stored) > 0 {
-		m.owners.lists, m.owners.digest = stored, stored.digest()
+		m.owners.lists, m.owners.digest, m.owners.provisional = stored, stored.digest(), true
 	}
 }
 
 // newOwners reports whether a VM that requests the owners has other ones than this control VM.
 func (m *Module) newOwners(req *membershippb.WatchRequest) bool {
 	digest := req.GetOwnersDigest()
+	if m.owners.provisional && digest != 0 {
+		return false
+	}
 	return req.GetAvailabilityZone() != "" && digest != anyOwners && m.owners.digest != 0 && digest != m.owners.digest
 }
 
--- a/internal/modules/membership/watch.go
+++ b/internal/modules/membership/watch.go
@@ -115,7 +115,7 @@
 		err := m.control.Do(ctx, func(now time.Time) {
 			if !req.GetControl() {
 				m.entryLastWatch[from] = now
-				m.owners.noteZone(from, req.GetAvailabilityZone())
+				m.owners.noteZone(now, from, req.GetAvailabilityZone())
 			}
 			reply, changed = m.updateFor(now, &req, last), m.changed
 			if req.GetTrouble() {
