Ask an owner although all of them are paused

Cause: a VM that is held up for some tens of milliseconds finds its asks timed out and pauses two or all three owners of its zone. For the rest of a second it then decided by itself, and refused requests below the limit.

Change: if all reachable owners are paused, the one whose pause ends first is asked.

Tests: the new test fails before the change; go test ./internal/allowance ./internal/modules/allowances passes.

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -427,3 +427,17 @@
 		require.Equal(t, raised.Version == 2, len(out.Borrows) == 2)
 	}
 }
+
+// Guards against a VM that was held up for a moment, takes all owners for slow and refuses requests below the limit for a second.
+func TestOwnerIsAskedWhenAllArePaused(t *testing.T) {
+	a := NewAsker(3, random())
+	order := Order(testKey, []model.VMName{"a", "b", "c"})
+	for i, vm := range []model.VMName{order[1], order[0], order[2]} {
+		a.TimedOut(start.Add(time.Duration(i)*AskTimeout), vm)
+	}
+	owner, ok := a.OwnerOf(start.Add(3*AskTimeout), testKey, order, func(model.VMName) bool { return true })
+	require.True(t, ok)
+	require.Equal(t, order[1], owner)
+	owner, _ = a.OwnerOf(start.Add(3*AskTimeout), testKey, order, func(vm model.VMName) bool { return vm != order[1] })
+	require.Equal(t, order[0], owner)
+}
--- a/internal/allowance/asker.go
+++ b/internal/allowance/asker.go
@@ -98,14 +98,20 @@
 	return maxRetryAfter/2 + time.Duration(a.random.Int64N(int64(maxRetryAfter/2)))
 }
 
-// OwnerOf returns the owner to ask: the first by rendezvous hash that is reachable and not paused.
-func (a *Asker) OwnerOf(now time.Time, key Key, owners []model.VMName, reachable func(model.VMName) bool) (model.VMName, bool) {
+// OwnerOf returns the owner to ask: the first by rendezvous hash that is reachable and not paused. If all that are reachable are paused, it
+// is the one whose pause ends first: a VM that was itself held up for a moment has paused all of them, and must not refuse requests for the
+// time of the pause.
+func (a *Asker) OwnerOf(now time.Time, key Key, owners []model.VMName, reachable func(model.VMName) bool) (owner model.VMName, ok bool) {
 	for _, vm := range Order(key, owners) {
-		if reachable(vm) && !now.Before(a.paused[vm]) {
+		switch {
+		case !reachable(vm):
+		case !now.Before(a.paused[vm]):
 			return vm, true
+		case !ok || a.paused[vm].Before(a.paused[owner]):
+			owner, ok = vm, true
 		}
 	}
-	return "", false
+	return owner, ok
 }
 
 // Order returns the owners of a key, best first.
