Ask zones for units as soon as they are connected

Cause: a zone without a connected owner was not asked for a second. While VMs start, the first ask often comes before the connections are open, and further ones were refused for up to a second.

Change: a change of the connections ends the pauses.

Tests: the new test fails without the call in the module; go test ./internal/allowance ./internal/modules/allowances passes.

--- a/internal/allowance/owner.go
+++ b/internal/allowance/owner.go
@@ -160,7 +160,7 @@
 }
 
 // OwnersChanged records that the owners of the zone, or the connections to them, have changed, so that this VM may be an earlier or a later
-// owner of each key than before. It also lets zones be asked again that no VM was connected of.
+// owner of each key than before.
 func (o *Owner) OwnersChanged(now time.Time) {
 	o.checkGap(now)
 	for _, b := range o.buckets {
@@ -168,9 +168,12 @@
 		b.settled, b.known = now, false
 	}
 	o.unchangedSince = now
-	clear(o.unreachable)
 }
 
+// LendersChanged records that connections to owners have changed. Zones that did not answer are asked again at once: while the VMs start, a
+// zone is asked before a connection to one of its owners is open.
+func (o *Owner) LendersChanged() { clear(o.unreachable) }
+
 // setStandIn records the place of this VM among the owners of a key. A stand-in keeps no more than a new owner begins with, because the
 // earlier owner's bucket holds the zone's burst.
 func (o *Owner) setStandIn(now time.Time, b *bucket, standIn bool) {
--- a/internal/modules/allowances/module.go
+++ b/internal/modules/allowances/module.go
@@ -168,6 +168,7 @@
 			reached = append(reached, vm)
 		}
 	}
+	m.owner.LendersChanged()
 	if !slices.Equal(reached, m.reached) {
 		m.reached = reached
 		m.owner.OwnersChanged(m.now())
--- a/internal/modules/allowances/module_test.go
+++ b/internal/modules/allowances/module_test.go
@@ -256,3 +256,23 @@
 	counts := other.owner.Counts()
 	require.Equal(t, uint64(1), counts.Granted+counts.Denied)
 }
+
+// Guards against an owner that refuses requests for a second after a start, because other zones were not connected at the first of them.
+func TestZonesAreAskedOnceTheyAreConnected(t *testing.T) {
+	_, modules := cluster(t, 9)
+	m := modules["127.0.0.1"]
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	k, l := allowance.Key{Kind: allowance.KindCustomer, Name: "other"}, allowance.Limit{Rate: 0.003, Version: 1}
+	var out allowance.Effects
+	m.owner.Ask(m.now(), allowance.Ask{Key: k, Limit: l, N: 1}, false, &out)
+	require.Len(t, out.Borrows, 2)
+	for _, b := range out.Borrows {
+		m.owner.Lent(m.now(), b, 0, false, &out)
+	}
+	require.False(t, out.Replies[0].Answer.Granted)
+	m.notifyOwnersChanged()
+	out = allowance.Effects{}
+	m.owner.Ask(m.now(), allowance.Ask{Key: k, Limit: l, N: 1}, false, &out)
+	require.Len(t, out.Borrows, 2)
+}
