Pass over owners that are stopping

Cause: an owner whose module had stopped still answered asks until its connections ended. It could not borrow any more, and denied asks of customers below their limits.

Change: it refuses asks and loans, and the next owner is asked.

Tests: the new test fails before the change; go test -race ./internal/modules/allowances passes.

--- a/internal/modules/allowances/module_test.go
+++ b/internal/modules/allowances/module_test.go
@@ -276,3 +276,20 @@
 	m.owner.Ask(m.now(), allowance.Ask{Key: k, Limit: l, N: 1}, false, &out)
 	require.Len(t, out.Borrows, 2)
 }
+
+// Guards against an owner that is stopping, cannot borrow any more and denies requests below the limit.
+func TestStoppingOwnerIsPassedOver(t *testing.T) {
+	_, modules := cluster(t, 9)
+	m := modules["127.0.0.1"]
+	data, err := encodeAsks([]allowance.Ask{{Key: key, Limit: limit, N: 1}}, nil)
+	require.NoError(t, err)
+	_, err = m.handleAsk(t.Context(), "x", data)
+	require.NoError(t, err)
+	require.NoError(t, m.Stop(t.Context()))
+	_, err = m.handleAsk(t.Context(), "x", data)
+	require.Error(t, err)
+	data, err = encodeBorrows([]allowance.Borrow{{Key: key, Limit: limit, Units: 1}})
+	require.NoError(t, err)
+	_, err = m.handleBorrow(t.Context(), "x", data)
+	require.Error(t, err)
+}
--- a/internal/modules/allowances/owner.go
+++ b/internal/modules/allowances/owner.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chestnuttiller/chestnuttiller/internal/allowance"
+	"github.com/chestnuttiller/chestnuttiller/internal/errs"
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
 )
@@ -37,9 +38,15 @@
 		}
 		m.mu.Unlock()
 	}
+	if len(asks) > 0 && m.runCtx.Err() != nil {
+		return nil, errStopping
+	}
 	return encodeAnswers(m.decide(ctx, asks))
 }
 
+// errStopping makes other VMs ask the next owner. This one can no longer borrow units, and would deny asks below the limit.
+var errStopping = errs.New(errs.KindShutdown, "no action is needed; the next owner is asked", "this VM is stopping and no longer keeps allowances")
+
 // decide answers asks as the owner. It waits for units of other zones for allowance.BorrowWait at most.
 func (m *Module) decide(ctx context.Context, asks []allowance.Ask) []allowance.Answer {
 	b := &batch{answers: make([]allowance.Answer, len(asks)), left: len(asks), done: make(chan struct{})}
@@ -173,6 +180,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if m.runCtx.Err() != nil {
+		return nil, errStopping
+	}
 	now := m.now()
 	units := make([]float64, 0, len(list))
 	m.mu.Lock()
