Add no VM as a peer while the module waits for its tasks

Cause: AddPeer could start a task after Stop had begun to wait, since the context was ended without the lock that AddPeer holds. Views that change the owners of allowances make such calls at any time. Found by reading; no test reproduces it.

Change: the context is ended under the lock.

Tests: go test -race ./internal/modules/peer passes.

--- a/internal/modules/peer/module.go
+++ b/internal/modules/peer/module.go
@@ -235,7 +235,9 @@
 	if m.cancel == nil {
 		return nil
 	}
+	m.mu.Lock() // No VM is added once the tasks are waited for.
 	m.cancel()
+	m.mu.Unlock()
 	_ = m.listener.Close() // Nothing is accepted after this, even if closing fails.
 	done := make(chan struct{})
 	go func() {
