Order the faults of the comparison of allowances

Cause: the faults of a run were scheduled in the random order of a map, which decided the order of other events at the same time. Figures for frozen owners differed from run to run.

Change: they are scheduled in the order of their times.

Tests: three runs of go test -run Designs ./internal/allowance gave the same figures.

--- a/internal/allowance/compare_test.go
+++ b/internal/allowance/compare_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -402,8 +403,9 @@
 	for _, vm := range w.vmList {
 		w.ticks(vm)
 	}
-	for at, fn := range w.fault {
-		w.after(at, func() { fn(w) })
+	// The order of the faults decides the order of other events at the same time, and has to be the same in each run.
+	for _, at := range slices.Sorted(maps.Keys(w.fault)) {
+		w.after(at, func() { w.fault[at](w) })
 	}
 	w.after(w.countFrom, func() {
 		w.messages, w.between, w.requests = 0, 0, 0
