Withdraw asks of VMs that have disconnected

Cause: an ask that waited for other zones stayed with the owner after its VM had disconnected. Units were borrowed for it and granted to nobody.

Change: the owner forgets it.

Tests: the new test fails before the change; go test -race -count=3 ./internal/modules/allowances and go test ./internal/allowance pass.

--- a/internal/allowance/owner.go
+++ b/internal/allowance/owner.go
@@ -384,6 +384,18 @@
 	return maxRetryAfter/2 + time.Duration(o.random.Int64N(int64(maxRetryAfter/2)))
 }
 
+// Withdraw removes an ask that waits, because its VM no longer does.
+func (o *Owner) Withdraw(key Key, id uint64) {
+	b := o.buckets[key]
+	if b == nil {
+		return
+	}
+	b.waiting = slices.DeleteFunc(b.waiting, func(w waitingAsk) bool { return w.id == id })
+	if len(b.waiting) == 0 {
+		delete(o.waiting, key)
+	}
+}
+
 // Return adds units that a VM has not used. Units of a key without a bucket are lost.
 func (o *Owner) Return(now time.Time, key Key, n int) {
 	o.checkGap(now)
--- a/internal/modules/allowances/module_test.go
+++ b/internal/modules/allowances/module_test.go
@@ -310,3 +310,18 @@
 	require.Len(t, modules["127.0.0.1"].TakeAll(t.Context(), asks), len(asks))
 	require.Less(t, time.Since(began), time.Second)
 }
+
+// Guards against units that are lost because they are granted to a VM that has disconnected while its ask waited for other zones.
+func TestAskOfDisconnectedVMIsWithdrawn(t *testing.T) {
+	network, modules := cluster(t, 9)
+	m := modules["127.0.0.1"]
+	network.SetLinks(func(_, _ model.VMName) peertest.Link { return peertest.LinkUnresponsive })
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	l := allowance.Limit{Rate: 0.003, Version: 1}
+	require.False(t, m.decide(ctx, []allowance.Ask{{Key: allowance.Key{Kind: allowance.KindCustomer, Name: "other"}, Limit: l, N: 1}})[0].Granted)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	require.False(t, m.owner.Waiting())
+	require.Empty(t, m.slots)
+}
--- a/internal/modules/allowances/owner.go
+++ b/internal/modules/allowances/owner.go
@@ -72,15 +72,18 @@
 		return b.answers
 	case <-timer.C:
 	case <-ctx.Done():
-		// The caller has disconnected, and what is granted from now on is lost.
+		// The caller has disconnected.
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out = allowance.Effects{}
 	m.owner.Tick(m.now(), &out)
 	m.apply(m.now(), &out)
-	for i := range asks {
-		delete(m.slots, first+uint64(i)) // What is still open counts as denied.
+	for i, a := range asks {
+		if id := first + uint64(i); m.slots[id].batch != nil { // What is still open counts as denied.
+			m.owner.Withdraw(a.Key, id)
+			delete(m.slots, id)
+		}
 	}
 	return b.answers
 }
