--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -340,3 +340,132 @@
 	later, _ := o.Tokens(now.Add(2*time.Second), key)
 	require.InDelta(t, 3, later, 1e-9)
 }
+
+// Guards against a customer whose burst is refused in the first seconds after its first request, although nobody has used its quota.
+func TestUnusedKeyHasTheCreditSinceThisVMIsFirst(t *testing.T) {
+	l := Limit{Rate: 30, Burst: 60, Slack: 24, Version: 1}
+	granted := func(now time.Time, change func(o *Owner)) (n int) {
+		o := NewOwner(start, "az-1", testZones, random())
+		tickTo(o, start, start.Add(time.Second))
+		change(o)
+		tickTo(o, start.Add(time.Second), now)
+		for askOne(o, now, l, 1) {
+			n++
+		}
+		return n
+	}
+	nothing := func(*Owner) {}
+	require.Equal(t, 14, granted(start.Add(time.Second), nothing), "4 units and those of 1 s")
+	require.Equal(t, 24, granted(start.Add(time.Minute), nothing), "the depth")
+	require.Equal(t, 4, granted(start.Add(time.Second), func(o *Owner) { o.OwnersChanged(start.Add(time.Second)) }), "it may have become the first one just now")
+	o := NewOwner(start, "az-1", testZones, random())
+	require.False(t, askOne(o, start.Add(time.Minute), l, 5), "frozen until now")
+	var out Effects
+	o = NewOwner(start, "az-1", testZones, random())
+	tickTo(o, start, start.Add(time.Minute))
+	o.Ask(start.Add(time.Minute), Ask{1, testKey, l, 5}, true, &out)
+	require.Empty(t, out.Replies, "a stand-in has the first units only")
+	cold := Key{KindColdLeaf, "l 1"}
+	o.Ask(start.Add(time.Minute), Ask{2, cold, Limit{Rate: 30, Slack: 5}, 1}, false, &out)
+	require.Empty(t, out.Replies, "a cold leaf's limit binds from the first request")
+}
+
+// Guards against the burst of a zone that is granted twice, and a rate that counts twice, when an owner that had taken over is asked again
+// after the earlier owner has come back.
+func TestOwnerThatIsNoLongerFirstKeepsOnlyFirstUnits(t *testing.T) {
+	l := Limit{Rate: 30, Burst: 300, Slack: 24, Version: 1}
+	o := NewOwner(start, "az-1", testZones, random())
+	require.True(t, askOne(o, start, l, 1))
+	back := start.Add(time.Minute)
+	tickTo(o, start, back)
+	o.OwnersChanged(back)
+	later := back.Add(time.Minute)
+	tickTo(o, back, later)
+	var out Effects
+	o.Ask(later, Ask{1, testKey, l, 5}, true, &out)
+	require.Empty(t, out.Replies)
+	for _, b := range out.Borrows {
+		o.Lent(later, b, 0, true, &out)
+	}
+	require.False(t, out.Replies[0].Answer.Granted)
+	o.OwnersChanged(later)
+	last := later.Add(time.Second)
+	tickTo(o, later, last)
+	require.True(t, askOne(o, last, l, 14), "first again, and refilled for 1 s")
+	require.False(t, askOne(o, last, l, 1))
+}
+
+// Guards against stand-ins whose buckets are never removed, until there is no room for another key.
+func TestUnusedBucketsOfStandInsAreRemoved(t *testing.T) {
+	o := NewOwner(start, "az-1", testZones, random())
+	var out Effects
+	o.Ask(start, Ask{1, testKey, Limit{Rate: 30, Slack: 24, Version: 1}, 1}, true, &out)
+	for _, b := range out.Borrows {
+		o.Lent(start, b, 0, true, &out)
+	}
+	tickTo(o, start, start.Add(idleTime+idleTime/5))
+	require.Zero(t, o.Keys())
+}
+
+// deny asks for n units that no zone lends, and returns after which time the caller is to retry.
+func deny(t *testing.T, o *Owner, now time.Time, l Limit, n int) time.Duration {
+	var out Effects
+	o.Ask(now, Ask{1, testKey, l, n}, false, &out)
+	for _, b := range out.Borrows {
+		o.Lent(now, b, 0, true, &out)
+	}
+	require.False(t, out.Replies[0].Answer.Granted)
+	return out.Replies[0].Answer.RetryAfter
+}
+
+// Guards against callers that are told to come back long after there is credit again: when the bucket lacks a part of a unit, when it has
+// been refilled since the last denials, and when the limit has been raised.
+func TestRetryTimeIsWhenCreditIsExpected(t *testing.T) {
+	o := NewOwner(start, "az-1", testZones, random())
+	l := Limit{Rate: 3, Burst: 30, Slack: 15, Version: 1} // A zone begins with 2.5 units and gets one a second.
+	require.True(t, askOne(o, start, l, 2))
+	require.InDelta(t, 0.5, deny(t, o, start, l, 1).Seconds(), 0.01)
+	require.InDelta(t, 1.5, deny(t, o, start, l, 1).Seconds(), 0.01)
+	for range 30 {
+		deny(t, o, start, l, 1)
+	}
+	now := start.Add(4 * time.Second)
+	tickTo(o, start, now)
+	require.True(t, askOne(o, now, l, 1), "callers that were denied have not come back, and 3.5 units are left")
+	require.True(t, askOne(o, now, l, 3))
+	require.InDelta(t, 0.5, deny(t, o, now, l, 1).Seconds(), 0.01)
+	for range 30 {
+		deny(t, o, now, l, 1)
+	}
+	raised := Limit{Rate: 300, Burst: 30, Slack: 15, Version: 2}
+	require.Less(t, deny(t, o, now, raised, 1), 10*time.Millisecond)
+	var out Effects
+	o.Ask(now, Ask{2, testKey, raised, 1}, false, &out)
+	require.Empty(t, out.Borrows, "the other zones have just been asked")
+}
+
+// Guards against a raised limit that is not borrowed for, because the other zones had nothing to lend of the previous one.
+func TestRaisedLimitIsBorrowedForAtOnce(t *testing.T) {
+	o := NewOwner(start, "az-1", testZones, random())
+	l := Limit{Rate: 0.3, Version: 1}
+	deny(t, o, start, l, 5)
+	for _, raised := range []Limit{l, {Rate: 300, Version: 2}} {
+		var out Effects
+		o.Ask(start.Add(time.Millisecond), Ask{2, testKey, raised, 5}, false, &out)
+		require.Equal(t, raised.Version == 2, len(out.Borrows) == 2)
+	}
+}
+
+// Guards against a VM that was held up for a moment, takes all owners for slow and refuses requests below the limit for a second.
+func TestOwnerIsAskedWhenAllArePaused(t *testing.T) {
+	a := NewAsker(3, random())
+	order := Order(testKey, []model.VMName{"a", "b", "c"})
+	for i, vm := range []model.VMName{order[1], order[0], order[2]} {
+		a.TimedOut(start.Add(time.Duration(i)*AskTimeout), vm)
+	}
+	owner, ok := a.OwnerOf(start.Add(3*AskTimeout), testKey, order, func(model.VMName) bool { return true })
+	require.True(t, ok)
+	require.Equal(t, order[1], owner)
+	owner, _ = a.OwnerOf(start.Add(3*AskTimeout), testKey, order, func(vm model.VMName) bool { return vm != order[1] })
+	require.Equal(t, order[0], owner)
+}
--- a/internal/modules/allowances/asks.go
+++ b/internal/modules/allowances/asks.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/chestnuttiller/chestnuttiller/internal/allowance"
@@ -44,7 +46,10 @@
 
 // TakeAll implements kernel.AllowanceBatches. Asks for the same owner share a message.
 func (m *Module) TakeAll(ctx context.Context, asks []allowance.Ask) []allowance.Answer {
-	answers := make([]allowance.Answer, len(asks))
+	asks, answers := slices.Clone(asks), make([]allowance.Answer, len(asks))
+	for i, a := range asks {
+		asks[i].Key, asks[i].Limit = encodable(a.Key, a.Limit)
+	}
 	pending, decidedHere := make([]*pendingAsk, len(asks)), make([]bool, len(asks))
 	now := m.now()
 	m.mu.Lock()
@@ -59,20 +64,34 @@
 	m.mu.Unlock()
 	ownerCtx, cancel := context.WithTimeout(ctx, ownerWait)
 	defer cancel()
+	var waits sync.WaitGroup
 	for i := range asks {
-		if pending[i] == nil && !decidedHere[i] {
-			if pending[i] = m.awaitOwner(ownerCtx, asks[i]); pending[i] == nil {
-				answers[i] = m.localAnswer(asks[i])
-			}
+		switch {
+		case decidedHere[i]:
+		case len(asks) == 1:
+			answers[i] = m.awaitAnswer(ctx, ownerCtx, asks[i], pending[i])
+		default: // Asks that fail at the same time are sent to another owner at the same time.
+			waits.Go(func() { answers[i] = m.awaitAnswer(ctx, ownerCtx, asks[i], pending[i]) })
 		}
-		if pending[i] != nil {
-			answers[i] = m.await(ctx, asks[i], pending[i])
-		}
-		m.count(answers[i])
+	}
+	waits.Wait()
+	for _, a := range answers {
+		m.count(a)
 	}
 	return answers
 }
 
+// awaitAnswer waits for the answer to an ask, which p holds if it has been passed to an owner.
+func (m *Module) awaitAnswer(ctx, ownerCtx context.Context, a allowance.Ask, p *pendingAsk) allowance.Answer {
+	if p == nil {
+		p = m.awaitOwner(ctx, ownerCtx, a)
+	}
+	if p == nil {
+		return m.localAnswer(a)
+	}
+	return m.await(ctx, a, p)
+}
+
 func (m *Module) count(a allowance.Answer) {
 	if a.Granted {
 		m.metrics.granted.Inc(1)
@@ -86,28 +105,30 @@
 
 const (
 	// ownerWait is how long asks wait for a connection to an owner, which takes some round trips after a start of this VM.
-	ownerWait = 50 * time.Millisecond
+	// It is shorter than requests wait for their quota, so that time is left for the answer.
+	ownerWait = 40 * time.Millisecond
 	// ownerWaitPause is how long asks do not wait after no owner was connected in time.
 	ownerWaitPause = time.Second
 )
 
-// awaitOwner passes an ask to its owner as soon as one is connected. It returns nil if none is before ctx ends.
-func (m *Module) awaitOwner(ctx context.Context, a allowance.Ask) *pendingAsk {
+// awaitOwner passes an ask to its owner as soon as one is connected. It returns nil if none is before ownerCtx ends, which is a part of ctx.
+func (m *Module) awaitOwner(ctx, ownerCtx context.Context, a allowance.Ask) *pendingAsk {
 	for {
 		m.mu.Lock()
 		now, changed := m.now(), m.ownersChanged
 		p := m.enqueue(now, a)
-		if p == nil && ctx.Err() != nil {
+		ended := ownerCtx.Err() != nil
+		if p == nil && ended && ctx.Err() == nil { // A request that has ended before says nothing about the owners.
 			m.noOwnerUntil = now.Add(ownerWaitPause)
 		}
-		waits := p == nil && !now.Before(m.noOwnerUntil)
+		waits := p == nil && !ended && !now.Before(m.noOwnerUntil)
 		m.mu.Unlock()
 		if !waits {
 			return p
 		}
 		select {
 		case <-changed:
-		case <-ctx.Done():
+		case <-ownerCtx.Done():
 		}
 	}
 }
@@ -154,7 +175,8 @@
 	return p
 }
 
-// send sends the queued asks of an owner until none is left.
+// send sends the queued asks of an owner until none is left. It leaves out those that nobody waits for any more, so that an owner that is
+// slow is not asked for units that are not used.
 func (m *Module) send(owner model.VMName, o *outgoing) {
 	for {
 		m.mu.Lock()
@@ -168,7 +190,11 @@
 			m.mu.Unlock()
 			return
 		}
+		batch = slices.DeleteFunc(batch, func(p *pendingAsk) bool { return p.abandoned })
 		m.mu.Unlock()
+		if len(batch) == 0 {
+			continue
+		}
 		answers, err := m.call(owner, batch)
 		if err != nil {
 			m.ownerFailed(owner, err)
@@ -282,6 +308,7 @@
 
 // Return implements kernel.Allowances.
 func (m *Module) Return(key allowance.Key, n int) {
+	key, _ = encodable(key, allowance.Limit{})
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.asker.Return(m.now(), key, n)
--- a/internal/modules/allowances/module_test.go
+++ b/internal/modules/allowances/module_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -172,3 +173,155 @@
 	_, err = decodeUnits(nil, 1)
 	require.Error(t, err)
 }
+
+// Guards against an owner that is not told that its place has changed, and refills buckets for time in which it was not the first one.
+func TestOwnerLearnsOfChangedConnections(t *testing.T) {
+	network, modules := cluster(t, 9)
+	m := modules["127.0.0.1"]
+	reached := func() int {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return len(m.reached)
+	}
+	require.Eventually(t, func() bool { return reached() == 3 }, 5*time.Second, time.Millisecond)
+	network.SetLinks(func(_, _ model.VMName) peertest.Link { return peertest.LinkDown })
+	require.Eventually(t, func() bool { return reached() == 1 }, 5*time.Second, time.Millisecond)
+}
+
+// Guards against a VM that is no longer an owner and refills its buckets while the new owner does so too.
+func TestVMThatIsNoLongerOwnerIsNotRefilled(t *testing.T) {
+	_, modules := cluster(t, 9)
+	m := modules["127.0.0.1"]
+	standsIn := func(list ...model.VMName) bool {
+		m.applyView(&kernel.View{
+			EntryVMs: 9, AllowanceOwners: map[model.AvailabilityZone][]model.VMName{m.zone: list},
+			Routes: &routes.Table{Customers: []routes.Customer{{Name: "c", Quota: routes.Quota{Rate: 1}}}},
+		})
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.standsIn(key)
+	}
+	require.False(t, standsIn(m.self))
+	require.False(t, standsIn(m.self, "gone"))
+	require.True(t, standsIn("gone"))
+	require.True(t, standsIn())
+}
+
+// Guards against one customer with a huge quota or a long name whose asks fail, after which this VM passes over the owner for all customers.
+func TestHugeLimitsAndLongNamesAreAskedFor(t *testing.T) {
+	_, modules := cluster(t, 9)
+	m := modules["127.0.0.1"]
+	huge := allowance.Limit{Rate: 1e12, Burst: 1e300, Slack: 1e300, Version: 1}
+	for i := range 8 {
+		a := m.Take(t.Context(), allowance.Key{Kind: allowance.KindCustomer, Name: fmt.Sprint(i) + strings.Repeat("n", 2*maxNameBytes)}, huge, 1)
+		require.Equal(t, allowance.Answer{Granted: true}, a)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	require.Empty(t, m.loggedAt, "no owner has failed")
+}
+
+// Guards against the first seconds after a start in which no request waits for an owner, because one was cancelled while it waited.
+func TestCancelledRequestDoesNotEndTheWaitForOwners(t *testing.T) {
+	network, modules := cluster(t, 9)
+	m := modules["127.0.0.1"]
+	network.SetLinks(func(_, _ model.VMName) peertest.Link { return peertest.LinkDown })
+	m.applyView(&kernel.View{EntryVMs: 9, AllowanceOwners: map[model.AvailabilityZone][]model.VMName{m.zone: {"gone"}}})
+	waits := func() bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.noOwnerUntil.IsZero()
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.True(t, m.Take(ctx, key, limit, 1).Local)
+	require.True(t, waits())
+	require.True(t, m.Take(t.Context(), key, limit, 1).Local)
+	require.False(t, waits())
+}
+
+// Guards against a slow owner that grants units to requests that have stopped waiting.
+func TestAbandonedAsksAreNotSent(t *testing.T) {
+	_, modules := cluster(t, 9)
+	m, other := modules["127.0.0.1"], modules["127.0.0.4"]
+	o := &outgoing{messages: 1}
+	for i := range 3 {
+		o.queue = append(o.queue, &pendingAsk{ask: allowance.Ask{Key: key, Limit: limit, N: 1}, result: make(chan askResult, 1), abandoned: i != 1})
+	}
+	live := o.queue[1]
+	m.send(other.self, o)
+	require.Len(t, live.result, 1)
+	other.mu.Lock()
+	defer other.mu.Unlock()
+	counts := other.owner.Counts()
+	require.Equal(t, uint64(1), counts.Granted+counts.Denied)
+}
+
+// Guards against an owner that refuses requests for a second after a start, because other zones were not connected at the first of them.
+func TestZonesAreAskedOnceTheyAreConnected(t *testing.T) {
+	_, modules := cluster(t, 9)
+	m := modules["127.0.0.1"]
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	k, l := allowance.Key{Kind: allowance.KindCustomer, Name: "other"}, allowance.Limit{Rate: 0.003, Version: 1}
+	var out allowance.Effects
+	m.owner.Ask(m.now(), allowance.Ask{Key: k, Limit: l, N: 1}, false, &out)
+	require.Len(t, out.Borrows, 2)
+	for _, b := range out.Borrows {
+		m.owner.Lent(m.now(), b, 0, false, &out)
+	}
+	require.False(t, out.Replies[0].Answer.Granted)
+	m.notifyOwnersChanged()
+	out = allowance.Effects{}
+	m.owner.Ask(m.now(), allowance.Ask{Key: k, Limit: l, N: 1}, false, &out)
+	require.Len(t, out.Borrows, 2)
+}
+
+// Guards against an owner that is stopping, cannot borrow any more and denies requests below the limit.
+func TestStoppingOwnerIsPassedOver(t *testing.T) {
+	_, modules := cluster(t, 9)
+	m := modules["127.0.0.1"]
+	data, err := encodeAsks([]allowance.Ask{{Key: key, Limit: limit, N: 1}}, nil)
+	require.NoError(t, err)
+	_, err = m.handleAsk(t.Context(), "x", data)
+	require.NoError(t, err)
+	require.NoError(t, m.Stop(t.Context()))
+	_, err = m.handleAsk(t.Context(), "x", data)
+	require.Error(t, err)
+	data, err = encodeBorrows([]allowance.Borrow{{Key: key, Limit: limit, Units: 1}})
+	require.NoError(t, err)
+	_, err = m.handleBorrow(t.Context(), "x", data)
+	require.Error(t, err)
+}
+
+// Guards against a step that waits for each of its asks in turn while owners do not answer.
+func TestAsksWaitTogetherForFrozenOwners(t *testing.T) {
+	network, modules := cluster(t, 12)
+	network.SetLinks(func(_, _ model.VMName) peertest.Link { return peertest.LinkUnresponsive })
+	modules["127.0.0.1"].applyView(&kernel.View{
+		EntryVMs: 12, AllowanceOwners: map[model.AvailabilityZone][]model.VMName{"az-0": {"127.0.0.4", "127.0.0.7", "127.0.0.10"}},
+		Routes: &routes.Table{Customers: []routes.Customer{{Name: "c", Quota: routes.Quota{Rate: 1}}}},
+	})
+	var asks []allowance.Ask
+	for i := range 100 {
+		asks = append(asks, allowance.Ask{Key: allowance.Key{Kind: allowance.KindExtra, Name: fmt.Sprint(i)}, Limit: limit, N: 1})
+	}
+	began := time.Now()
+	require.Len(t, modules["127.0.0.1"].TakeAll(t.Context(), asks), len(asks))
+	require.Less(t, time.Since(began), time.Second)
+}
+
+// Guards against units that are lost because they are granted to a VM that has disconnected while its ask waited for other zones.
+func TestAskOfDisconnectedVMIsWithdrawn(t *testing.T) {
+	network, modules := cluster(t, 9)
+	m := modules["127.0.0.1"]
+	network.SetLinks(func(_, _ model.VMName) peertest.Link { return peertest.LinkUnresponsive })
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	l := allowance.Limit{Rate: 0.003, Version: 1}
+	require.False(t, m.decide(ctx, []allowance.Ask{{Key: allowance.Key{Kind: allowance.KindCustomer, Name: "other"}, Limit: l, N: 1}})[0].Granted)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	require.False(t, m.owner.Waiting())
+	require.Empty(t, m.slots)
+}
--- a/internal/modules/allowances/owner.go
+++ b/internal/modules/allowances/owner.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chestnuttiller/chestnuttiller/internal/allowance"
+	"github.com/chestnuttiller/chestnuttiller/internal/errs"
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
 )
@@ -37,9 +38,15 @@
 		}
 		m.mu.Unlock()
 	}
+	if len(asks) > 0 && m.runCtx.Err() != nil {
+		return nil, errStopping
+	}
 	return encodeAnswers(m.decide(ctx, asks))
 }
 
+// errStopping makes other VMs ask the next owner. This one can no longer borrow units, and would deny asks below the limit.
+var errStopping = errs.New(errs.KindShutdown, "no action is needed; the next owner is asked", "this VM is stopping and no longer keeps allowances")
+
 // decide answers asks as the owner. It waits for units of other zones for allowance.BorrowWait at most.
 func (m *Module) decide(ctx context.Context, asks []allowance.Ask) []allowance.Answer {
 	b := &batch{answers: make([]allowance.Answer, len(asks)), left: len(asks), done: make(chan struct{})}
@@ -65,20 +72,24 @@
 		return b.answers
 	case <-timer.C:
 	case <-ctx.Done():
-		// The caller has disconnected, and what is granted from now on is lost.
+		// The caller has disconnected.
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out = allowance.Effects{}
 	m.owner.Tick(m.now(), &out)
 	m.apply(m.now(), &out)
-	for i := range asks {
-		delete(m.slots, first+uint64(i)) // What is still open counts as denied.
+	for i, a := range asks {
+		if id := first + uint64(i); m.slots[id].batch != nil { // What is still open counts as denied.
+			m.owner.Withdraw(a.Key, id)
+			delete(m.slots, id)
+		}
 	}
 	return b.answers
 }
 
-// standsIn reports whether an earlier owner of the key in this zone is connected. It is called with the lock held.
+// standsIn reports whether an earlier owner of the key in this zone is connected, or this VM is not an owner at all: VMs that still have an
+// older list ask it then, and others already ask the new owner. It is called with the lock held.
 func (m *Module) standsIn(key allowance.Key) bool {
 	for _, vm := range allowance.Order(key, m.owners[m.zone]) {
 		if vm == m.self {
@@ -88,7 +99,7 @@
 			return true
 		}
 	}
-	return false
+	return true
 }
 
 // apply delivers answers and sends the requests to other zones. It is called with the lock held.
@@ -172,6 +183,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if m.runCtx.Err() != nil {
+		return nil, errStopping
+	}
 	now := m.now()
 	units := make([]float64, 0, len(list))
 	m.mu.Lock()
