--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -21,9 +21,6 @@
 	roundDelay = 15 * time.Millisecond
 	// coverageTolerance absorbs the rounding error of a coverage that represents a whole number of parts.
 	coverageTolerance = 1e-9
-	// budgetRetryDelay is the delay after which a part that the budget refused an extra attempt asks for one again. First attempts of
-	// other requests, which add to the budget, come several times within it.
-	budgetRetryDelay = roundDelay
 	// minTimeLeft is the least time to the deadline for which an attempt is started.
 	minTimeLeft = 5 * time.Millisecond
 )
@@ -105,10 +102,8 @@
 	retryAt time.Time
 	// pausedUntil is the end of the pause that the leaves have asked for, when it is what the part failed for.
 	pausedUntil time.Time
-	// budgetExhausted reports whether the budget refused an extra attempt. The part is not hedged any more.
+	// budgetExhausted reports whether the budget refused an extra attempt.
 	budgetExhausted bool
-	// awaitsBudget reports whether the part, which no leaf has run, waits until the budget allows an extra attempt.
-	awaitsBudget bool
 }
 
 // Run is the state of one request. It is used by one goroutine.
@@ -194,9 +189,6 @@
 			wake = earlier(wake, partWake)
 		}
 	}
-	if open && r.onlyAwaitsBudget() {
-		open = false // No other part has used a leaf, and another VM has a budget of its own.
-	}
 	if response = r.finish(now, open, sends); response != nil {
 		return nil, response, now
 	}
@@ -318,15 +310,11 @@
 			p.retryAt = now.Add(ExtraPollInterval)
 			return sends
 		case ExtraDenied:
-			p.budgetExhausted, p.waiting = true, false
-			p.awaitsBudget = r.mayAwaitBudget(now, p)
-			if p.failed = !p.awaitsBudget; p.awaitsBudget {
-				p.retryAt = now.Add(budgetRetryDelay)
-			}
+			p.budgetExhausted, p.failed = true, true
 			return sends
 		}
 	}
-	p.waiting, p.awaitsBudget = false, false
+	p.waiting = false
 	reason := causeRetry
 	if len(p.attempts) == 0 {
 		reason = causeFirst
@@ -362,20 +350,6 @@
 	return true
 }
 
-// mayAwaitBudget reports whether a part to which the budget refuses an extra attempt waits for one. It does if no leaf has run or failed
-// it, and an attempt after the wait is still in time: the requests at the leaves of the other parts would be lost with this one.
-func (r *Run) mayAwaitBudget(now time.Time, p *part) bool {
-	if !r.route.IsScatterGather() || !now.Add(budgetRetryDelay).Before(r.lastStart()) {
-		return false
-	}
-	return !slices.ContainsFunc(p.attempts, func(a attempt) bool { return !a.ended || a.mayHaveRun })
-}
-
-// onlyAwaitsBudget reports whether the request has no reply, and no part needs anything but an extra attempt that the budget refuses.
-func (r *Run) onlyAwaitsBudget() bool {
-	return r.answeredParts == 0 && !slices.ContainsFunc(r.parts, func(p part) bool { return !p.failed && !p.awaitsBudget })
-}
-
 // lastStart returns until when a part waits for leaves that do not take it now.
 func (r *Run) lastStart() time.Time {
 	if r.route.IsScatterGather() {
--- a/internal/forward/run_test.go
+++ b/internal/forward/run_test.go
@@ -415,7 +415,7 @@
 	for _, s := range sends {
 		r.AttemptEnded(s.Part, s.Attempt, replyWith(503, true))
 	}
-	sends, response, _ := r.Step(at(91)) // Too late to wait for the budget.
+	sends, response, _ := r.Step(at(1))
 	require.Empty(t, sends)
 	require.Equal(t, KindRefused, response.Kind)
 	require.Positive(t, response.RetryAfter)
@@ -456,7 +456,7 @@
 		r := newRun(scatterRoute(1), e)
 		r.Step(start)
 		r.AttemptEnded(0, 0, replyWith(503, true))
-		_, response, _ := r.Step(at(91)) // Too late to wait for the budget.
+		_, response, _ := r.Step(at(1))
 		if unsent {
 			require.Equal(t, KindRefused, response.Kind)
 		} else {
