Count rejections against their leaf again

Rejections are the only knowledge of full leaves that VMs pool. Change: a rejection counts in the failure rate and in the evidence as before.

--- a/internal/forward/early_test.go
+++ b/internal/forward/early_test.go
@@ -10,6 +10,11 @@
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
 )
 
+// rejectionWith is the reply of a leaf that does not run the request and reports its load.
+func rejectionWith(load Load) AttemptResult {
+	return AttemptResult{Sent: true, Latency: time.Millisecond, Reply: &LeafReply{Status: 503, NotRun: true, Load: &load}}
+}
+
 // fullLeaves is a service of three leaves with 4 slots at a burst of 2.5 times its usual load: each replies after 10 ms without a queue
 // and has the given number of requests in its queue.
 type fullLeaves struct {
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -15,27 +15,18 @@
 
 // add counts the result of an attempt. An attempt that was cancelled early or not sent is ignored, because it is no evidence
 // about its leaf. So is a refused connection, which means little to other VMs: each VM has its own share of the connections that
-// a leaf accepts. So is a request that the leaf has not run: a full leaf is not faulty, and in a burst such replies made 72 of 108
-// leaves outliers at all VMs. The caller counts the reply of a leaf that rejects although it has room as an attempt.
+// a leaf accepts. The rejection of a full leaf is bad as well: it makes the other VMs avoid the leaf, and without it more requests of
+// a burst were late.
 func (c *attemptCounts) add(result *AttemptResult, unresponsive, cancelled bool, typical time.Duration) {
 	if result.Reply == nil && !unresponsive && (cancelled || !result.Sent || result.Refused) {
 		return
 	}
-	if result.Reply != nil && result.Reply.NotRun && !result.Reply.WrongLeaf {
-		return
-	}
 	c.attempts++
 	if result.Reply == nil || !result.Reply.Succeeded() || result.Latency > slowFactor*typical {
 		c.bad++
 	}
 }
 
-// addFaulty counts a reply that shows a fault of its leaf whatever its status.
-func (c *attemptCounts) addFaulty() {
-	c.attempts++
-	c.bad++
-}
-
 // TakeEvidence returns and resets the counts of attempts at leaves since the last call.
 func (t *Tracker) TakeEvidence() (list []leaves.Evidence) {
 	for k, s := range t.leaves {
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -254,7 +254,7 @@
 
 // AttemptEnded records the result of an attempt that was started at the given time. A cancelled attempt does not count for or
 // against its leaf, unless the leaf was unresponsive by then. A request that the leaf has turned away with the wish for a pause
-// is no failure of the leaf, nor is one that a full leaf has rejected.
+// is no failure of the leaf.
 func (t *Tracker) AttemptEnded(now time.Time, route string, m *leaves.Member, started time.Time, result *AttemptResult, cancelled bool) (v Verdict) {
 	s := t.statsOf(m)
 	var a inFlightAttempt
@@ -286,11 +286,10 @@
 	case cancelled && r == nil && !unresponsive:
 	case r != nil && r.WrongLeaf:
 		v.Ejected = s.eject(now, maxEjectTime)
-	case r != nil && r.NotRun && !rejectsWithRoom(now, m, r.Load):
+	case r != nil && r.NotRun:
 		s.shedUntil, s.rejectedAt, t.rejectedAt = now.Add(shedTime), now, now
-		if now.Sub(s.loadAt) >= maxLoadAge {
-			s.observeFailure(now, 1) // Without a load report the leaf may be faulty as well as full.
-		}
+		// A rejection counts against a full leaf too: it is how other VMs know at once that the leaf has no room.
+		s.observeFailure(now, 1)
 	case r != nil && r.Succeeded():
 		s.consecutiveFailures, s.ejections = 0, 0
 		s.observeFailure(now, 0)
@@ -300,10 +299,6 @@
 			t.observeWork(now, route, s, &a, r, result.Latency)
 		}
 	default:
-		if r != nil && r.NotRun {
-			s.shedUntil = now.Add(shedTime)
-			s.counts.addFaulty()
-		}
 		s.consecutiveFailures++
 		s.observeFailure(now, 1)
 		if result.Refused || unresponsive || s.consecutiveFailures >= ejectAfter {
@@ -313,15 +308,6 @@
 	return v
 }
 
-// rejectsWithRoom reports whether a leaf that rejects a request reports free slots and an empty queue with the rejection. Such a leaf
-// is faulty. During its warm-up a leaf may accept less than its slots.
-func rejectsWithRoom(now time.Time, m *leaves.Member, load *Load) bool {
-	if load == nil || now.Before(m.WarmAt) {
-		return false
-	}
-	return load.Waiting == 0 && load.Running < slotsOf(m, load)
-}
-
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
