Bound the lines about stray bytes, and test the lines of evacuations

Cause: a leaf that sends stray bytes after each reply caused one line for each of them, and no test showed how many lines an evacuation writes. Change: the line is written once a second, and the others are counted.

--- a/internal/modules/leafpool/module.go
+++ b/internal/modules/leafpool/module.go
@@ -86,6 +86,9 @@
 
 	started time.Time
 
+	// strayBytes limits the log lines about bytes that belong to no request.
+	strayBytes lineLimit
+
 	mu    sync.Mutex
 	pools map[leaves.Key]*pool
 	// requestedAt holds the time of the last request for each service.
--- a/internal/modules/membership/evacuations_test.go
+++ b/internal/modules/membership/evacuations_test.go
@@ -1,8 +1,11 @@
 package membership
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
@@ -46,3 +49,28 @@
 	require.Equal(t, want, view.Evacuations)
 	require.EqualValues(t, 3, view.Routes.Version)
 }
+
+// Guards against a log that an evacuation floods in a system with many VMs: a control VM writes one line for each change, however many
+// VMs watch it, and an entry VM one line, however many control VMs send it.
+func TestEvacuationsWriteOneLine(t *testing.T) {
+	const entryVMs, controlVMs = 80, 6
+	var lines bytes.Buffer
+	c := newModule()
+	c.logger, c.isControl, c.incarnation = log.NewLogfmtLogger(&lines), true, 7
+	e := newModule()
+	e.logger, e.readiness = log.NewLogfmtLogger(&lines), kernel.NewReadiness()
+	for revision := range uint64(3) {
+		c.state = &committedState{routes.Evacuations{Revision: revision + 1, Zones: []model.AvailabilityZone{"z1"}}}
+		for range 2 { // The event and the scan.
+			c.HandleEvent(start, kernel.RoutesChanged{})
+		}
+		for range entryVMs {
+			require.NotNil(t, c.updateFor(start, &membershippb.WatchRequest{Incarnation: 7, EvacuationsRevision: revision}, false))
+		}
+		for i := range controlVMs {
+			e.HandleEvent(start, updateEvent{[]model.VMName{"a", "b"}[i%2], update{evacuations: c.state.Evacuations()}})
+		}
+	}
+	require.Equal(t, 2*3, strings.Count(lines.String(), `msg="evacuations in force"`))
+	require.LessOrEqual(t, strings.Count(lines.String(), "\n"), 2*3+1+controlVMs, "one route table, and each control VM answers once")
+}
