--- a/internal/modules/forwarder/decisions.go
+++ b/internal/modules/forwarder/decisions.go
@@ -67,8 +67,12 @@
 	}
 	fields := []any{
 		"msg", msg, "request", req.ID, "outcome", response.Kind, "reason", response.Reason,
-		"took_ms", elapsed.Milliseconds(), "time_left_ms", req.Deadline.Sub(now).Milliseconds(), "host", req.Host, "path", req.Path,
+		"took_ms", elapsed.Milliseconds(),
 	}
+	if !req.Deadline.IsZero() {
+		fields = append(fields, "time_left_ms", req.Deadline.Sub(now).Milliseconds())
+	}
+	fields = append(fields, "host", req.Host, "path", req.Path)
 	if req.Customer != nil {
 		fields = append(fields, "customer", req.Customer.Name)
 	}
