Let a leaf that states a warm-up again be cold again

Cause: only the warm-up of the first heartbeat that a VM heard of counted, and a later one was not even passed on. A leaf that comes back into use cold without a new start had no limit. Change: a longer warm-up than before in a later heartbeat of the same incarnation is a change that control VMs pass on, and entry VMs take its end. Result: TestLeafThatIsColdAgain fails on the code before and passes; go test ./internal/leaves ./internal/modules/membership ./internal/forward ./internal/modules/leafpool passes.

--- a/internal/leaves/index.go
+++ b/internal/leaves/index.go
@@ -28,6 +28,8 @@
 	Leaf
 	// WarmAt is when the warm-up of the leaf ends, by this VM's clock.
 	WarmAt time.Time
+	// considered is the highest sequence number whose warm-up was compared with WarmAt. Only BuildIndex uses it.
+	considered uint64
 }
 
 // Incarnation identifies one start of a leaf.
@@ -74,8 +76,16 @@
 	return newest
 }
 
+// warmUpSkew is by how much the end of a warm-up may seem to move, since records arrive up to about a second after their heartbeats.
+const warmUpSkew = time.Second
+
+// isColdAgain reports whether a record states a warm-up that ends later than that of the member.
+func (m *Member) isColdAgain(now time.Time, l *Leaf) bool {
+	return l.Sequence > m.considered && l.WarmUpLeft > 0 && now.Add(l.WarmUpLeft).After(m.WarmAt.Add(warmUpSkew))
+}
+
 // BuildIndex builds the index from the newest records of the leaves, without the incarnations that are leaving. A member of the
-// previous index is reused while its incarnation, address and service are the same.
+// previous index is reused while its incarnation, address and service are the same and it is not cold again.
 func BuildIndex(now time.Time, newest map[string]Leaf, leaving func(Key) bool, previous *Index) *Index {
 	members := map[string]*Member{}
 	if previous != nil {
@@ -92,9 +102,10 @@
 			continue
 		}
 		m := members[id]
-		if m == nil || m.BornMS != l.BornMS || m.Address != l.Address || m.Service != l.Service {
+		if m == nil || m.BornMS != l.BornMS || m.Address != l.Address || m.Service != l.Service || m.isColdAgain(now, &l) {
 			m = &Member{Leaf: l, WarmAt: now.Add(l.WarmUpLeft)}
 		}
+		m.considered = max(m.considered, l.Sequence) // The warm-up of a record counts from when it arrives.
 		if leaving(m.Key()) {
 			continue
 		}
--- a/internal/leaves/leaves.go
+++ b/internal/leaves/leaves.go
@@ -128,9 +128,13 @@
 	return cmp.Or(cmp.Compare(a.BornMS, b.BornMS), cmp.Compare(a.Sequence, b.Sequence))
 }
 
-// equivalent reports whether other VMs would act in the same way on both records. Sequence and warm-up time are ignored,
-// since they change with each heartbeat. The sequence number of a deregistered leaf decides which heartbeats it outranks.
+// equivalent reports whether other VMs would act in the same way on a record and on a later one. The sequence number is ignored, since it
+// changes with each heartbeat, and so is a warm-up time that does not rise. The sequence number of a deregistered leaf decides which
+// heartbeats it outranks.
 func equivalent(a, b *Leaf) bool {
+	if restartsWarmUp(a, b) {
+		return false
+	}
 	x, y := *a, *b
 	if x.State != Deregistered {
 		x.Sequence, y.Sequence = 0, 0
@@ -139,6 +143,11 @@
 	return x == y
 }
 
+// restartsWarmUp reports whether a later record of a running leaf states a longer warm-up than the earlier one: the leaf is cold again.
+func restartsWarmUp(a, b *Leaf) bool {
+	return b.State == Ready && b.BornMS == a.BornMS && b.Sequence > a.Sequence && b.WarmUpLeft > a.WarmUpLeft
+}
+
 // SameUse reports whether an entry VM would use the leaf of both records in the same way.
 func SameUse(a, b *Leaf) bool {
 	x, y := *a, *b
--- a/internal/leaves/leaves_test.go
+++ b/internal/leaves/leaves_test.go
@@ -218,3 +218,37 @@
 		}
 	})
 }
+
+// Guards against a leaf that comes back into use cold and gets requests without limit, since only the warm-up of its first heartbeat
+// counts, and against one that seems cold again because an old record is read once more or heartbeats take different times.
+func TestLeafThatIsColdAgain(t *testing.T) {
+	control, entry := NewTable("a", testConfig), RemoteTable{}
+	var index *Index
+	beat := func(s float64, seq uint64, left time.Duration) (changed bool) {
+		l := heartbeat("i", "10.0.0.1:80", 5, seq, Ready)
+		l.WarmUpLeft = left
+		before := control.Version()
+		require.NoError(t, control.ApplyHeartbeat(at(s), l))
+		if changed = control.Version() != before; changed {
+			list, _ := control.ChangesSince(0)
+			entry.Apply(list, true)
+		}
+		index = BuildIndex(at(s), Newest([]*RemoteTable{&entry}, nil), noneLeaving, index)
+		return changed
+	}
+	warmAt := func() time.Time { return index.Services["s"][0].WarmAt }
+	require.True(t, beat(0, 1, 2500*time.Millisecond))
+	first := index.Services["s"][0]
+	require.False(t, beat(1, 2, 1500*time.Millisecond))
+	require.False(t, beat(3, 3, 0))
+	require.False(t, beat(4, 4, 0))
+	require.Same(t, first, index.Services["s"][0])
+	require.Equal(t, at(2.5), warmAt())
+	require.True(t, beat(20, 5, 2500*time.Millisecond), "it is cold again")
+	require.Equal(t, at(22.5), warmAt())
+	again := index.Services["s"][0]
+	require.False(t, beat(21, 6, 1500*time.Millisecond))
+	require.False(t, beat(60, 7, 0), "the record with a warm-up is read once more")
+	require.Same(t, again, index.Services["s"][0])
+	require.Equal(t, at(22.5), warmAt())
+}
