--- a/internal/allowance/types.go
+++ b/internal/allowance/types.go
@@ -46,6 +46,10 @@
 	RetryAfter time.Duration
 	// Local reports whether this VM has decided without the VM that keeps the allowance.
 	Local bool
+	// Owner is the VM that keeps the allowance and has decided. It is empty if Local is set.
+	Owner model.VMName
+	// Remembered reports whether this VM has repeated an earlier denial of the owner instead of asking again.
+	Remembered bool
 }
 
 // Credit is whether units of an allowance are available, as far as a VM knows.
--- a/internal/modules/forwarder/decisions.go
+++ b/internal/modules/forwarder/decisions.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -66,15 +67,23 @@
 	}
 	fields := []any{
 		"msg", msg, "request", req.ID, "outcome", response.Kind, "reason", response.Reason,
-		"took_ms", elapsed.Milliseconds(), "time_left_ms", req.Deadline.Sub(now).Milliseconds(), "host", req.Host, "path", req.Path,
+		"took_ms", elapsed.Milliseconds(),
 	}
+	if !req.Deadline.IsZero() {
+		fields = append(fields, "time_left_ms", req.Deadline.Sub(now).Milliseconds())
+	}
+	fields = append(fields, "host", req.Host, "path", req.Path)
 	if req.Customer != nil {
 		fields = append(fields, "customer", req.Customer.Name)
 	}
 	if r != nil {
 		answered, parts := r.state.Answered()
 		fields = append(fields, "route", r.route.Name, "version", r.version, "parts", parts, "answered", answered, "attempts", r.state.Attempts(), "tried", r.describe(failed))
+		if failed && len(r.coldLeaves) > 0 {
+			fields = append(fields, "cold_leaves_awaited", fmt.Sprint(r.coldLeaves))
+		}
 	}
+	fields = append(fields, response.Details...)
 	if !req.EndBy.IsZero() {
 		fields = append(fields, "ends_in_ms", req.EndBy.Sub(now).Milliseconds())
 	}
