--- a/internal/modules/forwarder/explain.go
+++ b/internal/modules/forwarder/explain.go
@@ -27,7 +27,7 @@
 		return x
 	}
 	req.HasCustomers = len(view.Routes.Customers) > 0
-	if x.Customer, x.Refusal = forward.Identify(view.Routes, x.Route, req.Keys); x.Refusal != nil {
+	if x.Customer, x.Refusal = forward.Identify(view.Routes, x.Route, req.Keys, view.RemovedKeys); x.Refusal != nil {
 		return x // Regions of the customer may restrict the leaves, so there are no candidates to show.
 	}
 	req.Customer = x.Customer
