Store the commit index while writes are few

A replica wrote the commit index only with its next entry, so that the last committed entry was applied after a restart of all control VMs only once a leader was elected. Until then entry VMs got the table before the last acknowledged one, in which a removed key is in use. A replica now writes the commit index alone when no write is pending and there was at most one within two ticks; with more writes the next one stores it, or an idle tick does. Nothing is written on a full disk. The cost is one sync for each entry of an idle log, none for each entry of a busy one. Applying what a quorum is known to hold is not enough: a restarted replica knows of none.

--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -38,6 +38,8 @@
 	diskFull        bool
 	// pendingWriteTicks counts the ticks during which a write was pending, since the last one was reported.
 	pendingWriteTicks int
+	// writeAtTick is the last write at the last tick, and writeBefore that at the tick before.
+	writeAtTick, writeBefore WriteID
 
 	electionElapsed int
 	electionTimeout int
@@ -105,6 +107,7 @@
 	if len(n.pending) > 0 {
 		n.pendingWriteTicks++
 	}
+	n.writeBefore, n.writeAtTick = n.writeAtTick, n.lastWrite
 	if n.role == Leader {
 		n.tickLeader()
 		return
@@ -228,7 +231,13 @@
 // hasUnsaved reports whether there is state that no write contains yet.
 func (n *Node) hasUnsaved() bool {
 	s := n.hardState()
-	return n.unsavedSnapshot != nil || n.written < n.log.last() || s.Term != n.writtenState.Term || s.Vote != n.writtenState.Vote
+	return n.unsavedSnapshot != nil || n.written < n.log.last() || s.Term != n.writtenState.Term || s.Vote != n.writtenState.Vote || n.commitDue()
+}
+
+// commitDue reports whether the commit index is to be written although nothing else is. That is not so after several writes within two
+// ticks, since the next one is expected soon and stores it as well. On a full disk the space is left to elections.
+func (n *Node) commitDue() bool {
+	return n.commit > n.writtenState.Commit && len(n.pending) == 0 && !n.diskFull && n.lastWrite-n.writeBefore <= 1
 }
 
 // applicableIndex returns the index up to which entries may be applied.
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -161,3 +161,49 @@
 	n.SnapshotSaved(n.NewSnapshot(nil))
 	require.Equal(t, n.applied-3, n.log.offset)
 }
+
+// Guards against a restart of all replicas that applies the last committed entry only once a leader is elected; and against a further
+// write for each of many entries, or on a full disk.
+func TestCommitIndexIsStoredWhileWritesAreFew(t *testing.T) {
+	leader, follower := newNode(t), newNode(t)
+	elect(t, leader)
+	_, err := leader.Propose(time.Unix(0, 0), []byte("x"))
+	require.NoError(t, err)
+	leader.Persisted(drain(leader).Write.ID)
+	leader.Step(Message{Kind: MsgAppendResp, From: "r2", To: "r1", Term: leader.term, Index: 3})
+	rd := drain(leader)
+	require.NotEmpty(t, rd.Committed)
+	require.Nil(t, rd.Write, "after the writes of the election")
+	appendTo := func(index, commit uint64) Ready {
+		follower.Step(Message{Kind: MsgAppend, From: "r2", To: "r1", Term: 1, Index: index - 1, LogTerm: 1, Commit: commit, Entries: []Entry{{Index: index, Term: 1}}})
+		follower.Persisted(drain(follower).Write.ID)
+		follower.Step(Message{Kind: MsgHeartbeat, From: "r2", To: "r1", Term: 1, Commit: index})
+		return drain(follower)
+	}
+	follower.Tick(time.Unix(0, 0))
+	require.EqualValues(t, 2, appendTo(2, 1).Write.State.Commit, "at once")
+	follower.Persisted(follower.lastWrite)
+	require.Nil(t, appendTo(3, 2).Write, "another entry is expected")
+	for _, n := range []*Node{leader, follower} {
+		var writes []*Write
+		for range 5 {
+			n.Tick(time.Unix(0, 0))
+			if w := drain(n).Write; w != nil {
+				writes = append(writes, w)
+				n.Persisted(w.ID)
+			}
+		}
+		require.Len(t, writes, 1)
+		require.Empty(t, writes[0].Entries)
+		restarted, err := New(n.cfg, Stored{State: *writes[0].State, Entries: n.log.slice(1, n.log.last())})
+		require.NoError(t, err)
+		committed := drain(restarted).Committed
+		require.EqualValues(t, 3, committed[len(committed)-1].Index)
+	}
+	follower.SetDiskFull(true)
+	for range 3 {
+		follower.Tick(time.Unix(0, 0))
+	}
+	require.Nil(t, appendTo(4, 3).Write, "the space is left to elections")
+	require.EqualValues(t, 4, follower.commit)
+}
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -90,8 +90,8 @@
 }
 
 // HardState is the Raft state that has to be on disk before a message that depends on it is sent. Commit is a hint
-// that lets a restarted replica apply entries before it has contact with a leader; a change of Commit alone causes
-// no write.
+// that lets a restarted replica apply entries before it has contact with a leader. A change of Commit alone is written
+// while there are few other writes: a restart of all replicas would otherwise undo the last entry until a leader is elected.
 type HardState struct {
 	Term   uint64
 	Vote   ReplicaID
