--- a/internal/modules/transport/transport_test.go
+++ b/internal/modules/transport/transport_test.go
@@ -108,7 +108,10 @@
 
 // Guards against malformed replies that are taken for a success or for the promise that the attempt has not run.
 func TestMalformedStatusLinesAreNoReply(t *testing.T) {
-	for _, line := range []string{"HTTP/1.1 799 X", "HTTP/1.1 600 X", "HTTP/1.1 099 X", "HTTP/1.1  200 OK", "HTTP/2.0 200 OK"} {
+	for _, line := range []string{
+		"HTTP/1.1 799 X", "HTTP/1.1 600 X", "HTTP/1.1 099 X", "HTTP/1.1  200 OK", "HTTP/2.0 200 OK",
+		"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 799 X", "HTTP/1.0 100\n\nHTTP/1.1 102 X\r\n\r\nHTTP/1.1  200 OK",
+	} {
 		for _, statement := range []string{"X-Other: 1", targetapi.HeaderNotRun + ": " + targetapi.NotRunShed} {
 			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				_, _ = io.Copy(io.Discard, r.Body)
@@ -133,6 +136,19 @@
 	}
 }
 
+// Guards against a valid reply that is refused because of the interim replies before it, however the bytes are divided.
+func TestStatusLinesAfterInterimReplies(t *testing.T) {
+	const reply = "HTTP/1.1 103 Early Hints\r\nA: HTTP/1.1 799\r\n\r\nHTTP/1.0 100\n\nHTTP/1.1 200 OK\r\n\r\nHTTP/1.1 799 in the body"
+	for size := 1; size <= len(reply); size++ {
+		var c replyCheck
+		for rest := reply; rest != ""; rest = rest[min(size, len(rest)):] {
+			require.NoError(t, c.observe([]byte(rest[:min(size, len(rest))])), size)
+		}
+		c.expect()
+		require.Error(t, c.observe([]byte("HTTP/1.1 799")), "the reply to the next request")
+	}
+}
+
 // Guards against counting an attempt as sent although nothing listens on the address of the target.
 func TestRefusedConnectionIsNotSent(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
