Bound limits and names of allowances to what messages hold

An owner of allowances refuses a whole message if one ask states a number above 1e9 or a name of more than 1,024 bytes. A valid configuration may have both, for example a rate of 1e10 for a customer that is to be practically unlimited. Each of its requests then failed the asks of other customers in the same message, and the owner counted as failing for a second. Limits are now bounded, and the digest of a long name takes its place, where the keys and limits are made.

--- a/internal/allowance/types.go
+++ b/internal/allowance/types.go
@@ -2,7 +2,19 @@
 // attempts at services, and requests to cold leaves. It does no I/O: the clock is an argument, and messages are values.
 package allowance
 
-import "time"
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+)
+
+const (
+	// MaxNameBytes is the length of the longest name of an allowance in a message.
+	MaxNameBytes = 1024
+	// MaxUnits is the largest number of a limit in a message, so that sums of them stay exact. No system runs as many requests in a
+	// second.
+	MaxUnits = 1e9
+)
 
 // Kind is the kind of thing that an allowance limits.
 type Kind uint8
@@ -23,6 +35,15 @@
 	Name string
 }
 
+// NewKey returns the key of an allowance. The digest of a name takes the place of one that is too long for messages.
+func NewKey(kind Kind, name string) Key {
+	if len(name) > MaxNameBytes {
+		digest := sha256.Sum256([]byte(name))
+		name = hex.EncodeToString(digest[:])
+	}
+	return Key{Kind: kind, Name: name}
+}
+
 // Limit is a token bucket for all VMs together. In a time t at most Rate*t + Burst + Slack units are used; Slack is what the
 // inexact parts may use in addition, such as a VM that has just started to keep the allowance.
 type Limit struct {
@@ -35,6 +56,12 @@
 	Version uint64
 }
 
+// Bounded returns the limit with numbers that fit into messages: an owner refuses a whole message for one that does not.
+func (l Limit) Bounded() Limit {
+	l.Rate, l.Burst, l.Slack = min(l.Rate, MaxUnits), min(l.Burst, MaxUnits), min(l.Slack, MaxUnits)
+	return l
+}
+
 // Answer is the answer to a request for units of an allowance.
 type Answer struct {
 	Granted bool
--- a/internal/forward/quota.go
+++ b/internal/forward/quota.go
@@ -20,15 +20,16 @@
 
 // Limit returns the limit over all VMs that a quota of the table with the given version sets.
 func (o QuotaOptions) Limit(q routes.Quota, version routes.Version) allowance.Limit {
-	return allowance.Limit{
+	l := allowance.Limit{
 		Rate: q.Rate, Burst: q.Burst, Version: uint64(version),
 		Slack: o.Overage*(o.Window.Seconds()*q.Rate+q.Burst) + o.Slack,
 	}
+	return l.Bounded()
 }
 
 // QuotaKey names the allowance that holds the quota of a customer.
 func QuotaKey(c *routes.Customer) allowance.Key {
-	return allowance.Key{Kind: allowance.KindCustomer, Name: c.Name}
+	return allowance.NewKey(allowance.KindCustomer, c.Name)
 }
 
 // QuotaDeadline returns until when a request waits for its customer's quota: for maxQuotaWait, and not beyond its deadline.
--- a/internal/modules/allowances/codec.go
+++ b/internal/modules/allowances/codec.go
@@ -11,14 +11,8 @@
 	"github.com/chestnuttiller/chestnuttiller/internal/modules/allowances/allowancespb"
 )
 
-const (
-	// maxAsks limits the asks, returns and loans of one message. A request to all shards has one ask for each service.
-	maxAsks = 256
-	// maxNameBytes limits the name of a key.
-	maxNameBytes = 1024
-	// maxUnits limits the units of one ask and the numbers of a limit, so that sums of them stay exact.
-	maxUnits = 1e9
-)
+// maxAsks limits the asks, returns and loans of one message. A request to all shards has one ask for each service.
+const maxAsks = 256
 
 func malformed(what string) error {
 	return errs.New(errs.KindInvalid, "run the same release on all VMs", "%s cannot be decoded", what)
@@ -30,9 +24,9 @@
 
 func allowanceFromProto(in *allowancespb.Allowance) (allowance.Key, allowance.Limit, bool) {
 	l := allowance.Limit{Rate: in.GetRate(), Burst: in.GetBurst(), Slack: in.GetSlack(), Version: in.GetVersion()}
-	ok := in.GetKind() <= math.MaxUint8 && len(in.GetName()) <= maxNameBytes
+	ok := in.GetKind() <= math.MaxUint8 && len(in.GetName()) <= allowance.MaxNameBytes
 	for _, v := range []float64{l.Rate, l.Burst, l.Slack} {
-		ok = ok && v >= 0 && v <= maxUnits // False for what is not a number.
+		ok = ok && v >= 0 && v <= allowance.MaxUnits // False for what is not a number.
 	}
 	return allowance.Key{Kind: allowance.Kind(in.GetKind()), Name: in.GetName()}, l, ok
 }
@@ -52,7 +46,7 @@
 	out := make([]allowance.Ask, 0, len(list))
 	for _, a := range list {
 		key, limit, ok := allowanceFromProto(a.GetAllowance())
-		if !ok || a.GetUnits() == 0 || a.GetUnits() > maxUnits {
+		if !ok || a.GetUnits() == 0 || a.GetUnits() > allowance.MaxUnits {
 			return nil, malformed("request for allowances")
 		}
 		out = append(out, allowance.Ask{Key: key, Limit: limit, N: int(a.GetUnits())})
--- a/internal/modules/allowances/module_test.go
+++ b/internal/modules/allowances/module_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/chestnuttiller/chestnuttiller/internal/allowance"
+	"github.com/chestnuttiller/chestnuttiller/internal/forward"
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
 	_ "github.com/chestnuttiller/chestnuttiller/internal/modules/log"
@@ -152,6 +154,25 @@
 	require.Empty(t, m.slots)
 }
 
+// Guards against a customer with an enormous quota or a long name whose asks let the owner refuse a whole message, with those of other
+// customers.
+func TestAsksOfUnusualCustomersAreAccepted(t *testing.T) {
+	o := forward.QuotaOptions{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+	names := map[string]bool{}
+	for _, c := range []routes.Customer{
+		{Name: "c", Quota: routes.Quota{Rate: 1e12, Burst: 1e300}}, {Name: "d", Quota: routes.Quota{Rate: 9e8}},
+		{Name: strings.Repeat("e", 2000), Quota: routes.Quota{Rate: 1}}, {Name: strings.Repeat("e", 2001), Quota: routes.Quota{Rate: 1}},
+	} {
+		data, err := encodeAsks([]allowance.Ask{{Key: forward.QuotaKey(&c), Limit: o.Limit(c.Quota, 1), N: 1}}, nil)
+		require.NoError(t, err)
+		asks, _, err := decodeAsks(data)
+		require.NoError(t, err, c.Quota)
+		require.Equal(t, forward.QuotaKey(&c), asks[0].Key)
+		names[asks[0].Key.Name] = true
+	}
+	require.Len(t, names, 4)
+}
+
 // Guards against malformed messages that end an owner or give it units.
 func TestMalformedMessagesAreRefused(t *testing.T) {
 	m := &Module{logger: log.NewNopLogger(), metrics: newMetrics(tally.NoopScope)}
--- a/internal/modules/forwarder/allowances.go
+++ b/internal/modules/forwarder/allowances.go
@@ -48,7 +48,7 @@
 	}
 	asks := make([]allowance.Ask, 0, len(services))
 	for _, s := range services {
-		asks = append(asks, allowance.Ask{Key: allowance.Key{Kind: allowance.KindExtra, Name: string(s)}, Limit: p.limit, N: 1})
+		asks = append(asks, allowance.Ask{Key: allowance.NewKey(allowance.KindExtra, string(s)), Limit: p.limit, N: 1})
 	}
 	for i, a := range p.allowances.TakeAll(ctx, asks) {
 		granted[i] = a.Granted
@@ -84,7 +84,7 @@
 	if s == nil || s.WarmUpRate <= 0 {
 		return allowance.Limit{}, false
 	}
-	return allowance.Limit{Rate: s.WarmUpRate, Slack: m.cold.slack, Version: uint64(table.Version)}, true
+	return allowance.Limit{Rate: s.WarmUpRate, Slack: m.cold.slack, Version: uint64(table.Version)}.Bounded(), true
 }
 
 // coldUnit is a unit of the allowance of a cold leaf that the current step of a request has reserved or needs.
