Ignore spaces around the zones and regions of zone_regions

With "az-0: north" in the settings the region was " north", which no configuration names, so that all requests with allowed regions got 503.

Tests: TestZonesAndRegionsAreTrimmed fails without the change and passes with it (go test ./internal/settings).

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -246,6 +246,7 @@
 	s.ZoneRegions = map[model.AvailabilityZone]string{}
 	for _, entry := range s.List("vm", "zone_regions") {
 		zone, region, ok := strings.Cut(entry, ":")
+		zone, region = strings.TrimSpace(zone), strings.TrimSpace(region)
 		if !ok || zone == "" {
 			return errs.New(errs.KindInvalid, "write each availability zone with its region, such as az-1:north", "%s: [vm] zone_regions has %q", file, entry)
 		}
