Count nothing against leaves that get no request because of an evacuation

An attempt that waited for its connection when the zone was evacuated is not sent. The forwarder counted it as a failure of the leaf, so that 3 of them ejected it, and each further one doubled the time up to 5 s: after a short evacuation its leaves got no requests.

Tests: TestEvacuationIsNoEvidenceAgainstLeaves failed in 3 of 3 runs without the change and passed in 15 of 15 with it.

--- a/internal/modules/forwarder/evacuations_test.go
+++ b/internal/modules/forwarder/evacuations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/chestnuttiller/chestnuttiller/internal/forward"
+	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
 	"github.com/chestnuttiller/chestnuttiller/internal/routes"
@@ -128,3 +130,31 @@
 	require.Eventually(t, func() bool { return len(m.readiness.Reasons()) == 0 }, 5*time.Second, time.Millisecond)
 	require.False(t, m.forwardRequest(time.Second).TryAnotherVM)
 }
+
+// evacuatingTransport is one whose attempts still wait for a connection when their availability zone is evacuated.
+type evacuatingTransport struct {
+	partitionTransport
+	m *Module
+}
+
+func (x *evacuatingTransport) Send(l *leaves.Member, req *forward.LeafRequest, done func(forward.AttemptResult)) kernel.LeafAttempt {
+	if l.AvailabilityZone != "own" {
+		return x.partitionTransport.Send(l, req, done)
+	}
+	x.m.evacuate("own")
+	done(forward.AttemptResult{Err: errors.New("the leaf is evacuated")})
+	return sentAttempt(func() {})
+}
+
+// Guards against leaves that get no requests for seconds after the end of an evacuation, because of attempts that were not sent to them.
+func TestEvacuationIsNoEvidenceAgainstLeaves(t *testing.T) {
+	m, x := newShardModule(t, "own", "other")
+	require.Equal(t, []string{"own"}, m.forwardRequest(time.Minute).Signatures)
+	m.transport = &evacuatingTransport{m: m}
+	for range 8 {
+		require.Equal(t, []string{"other"}, m.forwardRequest(time.Minute).Signatures)
+		m.evacuate()
+	}
+	m.transport = x
+	require.Equal(t, []string{"own"}, m.forwardRequest(time.Minute).Signatures)
+}
--- a/internal/modules/forwarder/runner.go
+++ b/internal/modules/forwarder/runner.go
@@ -191,8 +191,10 @@
 func (r *runner) finished(a *attempt, result forward.AttemptResult) {
 	m := r.module
 	m.mu.Lock()
-	// A connection that could not be opened counts against the leaf although the attempt was withdrawn meanwhile.
-	cancelled := a.cancelled || a.withdrawn && !result.Refused
+	// A connection that could not be opened counts against the leaf although the attempt was withdrawn meanwhile. An attempt that was not
+	// sent because the leaf has been evacuated says nothing about the leaf.
+	evacuated := !result.Sent && m.control.View().Evacuations.Has(a.leaf.AvailabilityZone)
+	cancelled := a.cancelled || (a.withdrawn || evacuated) && !result.Refused
 	if cancelled {
 		m.metrics.cancelled.Inc(1)
 	}
