Compress the document in large entries of the control log

A configuration of 652 KB with 7,000 customers needed an entry of 1,061 KB and was refused with 413 (a trial with three control VMs; with random keys the test has 1,136 KB). The document of an entry above 768 KiB is now compressed.

Tests: the case of customers in TestLargeConfigurationsFitIntoTheLog fails without compression; with it go test ./internal/routescodec ./internal/modules/routestate ./internal/modules/membership and ./platform -run 'EndToEnd|Configuration|Customers|Evacuation|RemovedKeys|LargeConf' pass (one run).

--- a/internal/routescodec/evacuations.go
+++ b/internal/routescodec/evacuations.go
@@ -26,8 +26,8 @@
 		}
 		return routes.Publication{}, &routes.EvacuationOrder{Zone: model.AvailabilityZone(o.GetZone()), End: o.GetEnd(), BasedOn: o.GetBasedOn()}, nil
 	}
-	t, err := TableFromProto(entry.GetTable())
-	return routes.Publication{Table: t, Document: entry.GetDocument()}, nil, err
+	p, err := publicationFrom(&entry)
+	return p, nil, err
 }
 
 // EncodeState encodes the replicated state: the newest publication as encoded by Encode, which is empty before the first one, and the
@@ -63,10 +63,9 @@
 		return s, nil
 	}
 	var err error
-	if s.Publication.Table, err = TableFromProto(message.GetTable()); err != nil {
+	if s.Publication, err = publicationFrom(&message); err != nil {
 		return State{}, err
 	}
-	s.Publication.Document = message.GetDocument()
 	message.Evacuations, message.Evacuation = nil, nil
 	s.Encoded, err = proto.Marshal(&message)
 	return s, err
--- a/internal/routescodec/routescodec.go
+++ b/internal/routescodec/routescodec.go
@@ -15,7 +15,11 @@
 
 // Encode encodes a publication.
 func Encode(p routes.Publication) ([]byte, error) {
-	return proto.Marshal(&routespb.Publication{Table: TableToProto(p.Table), Document: p.Document})
+	message := &routespb.Publication{Table: TableToProto(p.Table), Document: p.Document}
+	if err := compressLong(message); err != nil {
+		return nil, err
+	}
+	return proto.Marshal(message)
 }
 
 // Decode decodes a publication and validates its table.
@@ -24,8 +28,7 @@
 	if err := proto.Unmarshal(data, &publication); err != nil {
 		return routes.Publication{}, errs.Wrap(err, errs.KindInvalid, "run the same release on all VMs", "a published route table cannot be decoded")
 	}
-	t, err := TableFromProto(publication.GetTable())
-	return routes.Publication{Table: t, Document: publication.GetDocument()}, err
+	return publicationFrom(&publication)
 }
 
 // EncodeResult encodes the version in force after a publication was applied, or the reason why it was not.
