--- a/internal/kernel/shutdown_test.go
+++ b/internal/kernel/shutdown_test.go
@@ -90,9 +90,13 @@
 	require.NotRegexp(t, `msg="module (drained|stopped)" module=\S+( goroutine")? took_ms=[0-4] err=null`, out.String(), "a step that is not slow is logged")
 }
 
-type blockingController struct{ release chan struct{} }
+// blockingController blocks the control goroutine with the first event, and closes blocked then.
+type blockingController struct{ blocked, release chan struct{} }
 
-func (c blockingController) HandleEvent(time.Time, Event) { <-c.release }
+func (c blockingController) HandleEvent(time.Time, Event) {
+	close(c.blocked)
+	<-c.release
+}
 
 // Guards against a process that is killed at the end of its grace since a module, the control goroutine or the log does not
 // return from its drain or stop: the process ends by itself within the limit, all other modules are drained and stopped, and
@@ -132,10 +136,12 @@
 					Stopper
 				}{out, stopper(block)}
 			}
-			k := startFakeKernel(t, named("controller", blockingController{release}), named("log", sink), named("a", &fakeModule{step("drain a", false), step("stop a", false)}),
+			isBlocked := make(chan struct{})
+			k := startFakeKernel(t, named("controller", blockingController{isBlocked, release}), named("log", sink), named("a", &fakeModule{step("drain a", false), step("stop a", false)}),
 				named("b", &fakeModule{step("drain b", blocked == "drain"), step("stop b", blocked == "stop")}))
 			if blocked == "control goroutine" {
 				require.True(t, k.ctx.Control.Post("event"))
+				<-isBlocked // A goroutine that is not blocked yet may end without the event.
 			}
 			ended := make(chan [2]error, 1)
 			started := time.Now()
