Limit repeated log lines in one place

Cause: transport.leaves and membership.watch limited lines about faulty processes with the same code. Change: package internal/linelimit holds it.

--- a/internal/modules/leafpool/lines_test.go
+++ b/internal/linelimit/linelimit_test.go
@@ -1,4 +1,4 @@
-package leafpool
+package linelimit
 
 import (
 	"testing"
@@ -7,13 +7,14 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against one line for each reply of a leaf that sends stray bytes after it, and against lines that are left out uncounted.
-func TestLinesAboutStrayBytesAreBounded(t *testing.T) {
-	var l lineLimit
+// Guards against one line for each message of a faulty process, such as a leaf that sends stray bytes after each reply, and against
+// lines that are left out uncounted.
+func TestLinesAreBounded(t *testing.T) {
+	var l Limit
 	now, lines, counted := time.Unix(1000, 0), 0, 0
 	for range 3000 { // 3 s with 1,000 replies each.
 		now = now.Add(time.Millisecond)
-		if ok, leftOut := l.allow(now); ok {
+		if ok, leftOut := l.Allow(now); ok {
 			lines++
 			counted += 1 + leftOut
 		}
--- a/internal/modules/leafpool/conn.go
+++ b/internal/modules/leafpool/conn.go
@@ -217,7 +217,7 @@
 		if a == nil {
 			reportLast = c.fail(nil)
 			m.metrics.unexpected.Inc(1)
-			if ok, leftOut := m.strayBytes.allow(m.now()); ok {
+			if ok, leftOut := m.strayBytes.Allow(m.now()); ok {
 				_ = level.Warn(m.logger).Log("msg", "closed a connection to a leaf because it sent bytes that belong to no request", "leaf", c.pool.leaf.ID, "bytes", c.reader.Buffered(), "lines_left_out", leftOut)
 			}
 			return reportLast
--- a/internal/modules/leafpool/module.go
+++ b/internal/modules/leafpool/module.go
@@ -18,6 +18,7 @@
 	"github.com/chestnuttiller/chestnuttiller/internal/forward"
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
+	"github.com/chestnuttiller/chestnuttiller/internal/linelimit"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
 	"github.com/chestnuttiller/chestnuttiller/internal/readlimit"
 	"github.com/chestnuttiller/chestnuttiller/internal/settings"
@@ -87,7 +88,7 @@
 	started time.Time
 
 	// strayBytes limits the log lines about bytes that belong to no request.
-	strayBytes lineLimit
+	strayBytes linelimit.Limit
 
 	mu    sync.Mutex
 	pools map[leaves.Key]*pool
--- a/internal/modules/membership/module.go
+++ b/internal/modules/membership/module.go
@@ -16,6 +16,7 @@
 	"github.com/chestnuttiller/chestnuttiller/internal/fsys"
 	"github.com/chestnuttiller/chestnuttiller/internal/kernel"
 	"github.com/chestnuttiller/chestnuttiller/internal/leaves"
+	"github.com/chestnuttiller/chestnuttiller/internal/linelimit"
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
 	"github.com/chestnuttiller/chestnuttiller/internal/routes"
 	"github.com/chestnuttiller/chestnuttiller/internal/settings"
@@ -138,11 +139,12 @@
 	readiness   *kernel.Readiness
 	peers       kernel.PeerTransport
 	replies     replyEncoder
-	refusals    refusals
-	logger      log.Logger
-	metrics     metrics
-	runCtx      context.Context
-	cancel      context.CancelFunc
+	// refusals limits the log lines about refused heartbeats. Another program may send many.
+	refusals linelimit.Limit
+	logger   log.Logger
+	metrics  metrics
+	runCtx   context.Context
+	cancel   context.CancelFunc
 
 	// The following fields belong to the control goroutine.
 	table   *leaves.Table
--- a/internal/modules/membership/registry.go
+++ b/internal/modules/membership/registry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -28,35 +27,13 @@
 	return err
 }
 
-// refusalLogInterval is the shortest time between two log lines about refused heartbeats. Another program may send many.
-const refusalLogInterval = time.Second
-
 // maxLoggedIDBytes limits the ID in such a line, which may be of any length.
 const maxLoggedIDBytes = 64
 
-// refusals limits the log lines about refused heartbeats.
-type refusals struct {
-	mu       sync.Mutex
-	loggedAt time.Time
-	leftOut  int
-}
-
-// allow reports whether a line is to be written, and how many were left out since the last one.
-func (r *refusals) allow(now time.Time) (ok bool, leftOut int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if now.Sub(r.loggedAt) < refusalLogInterval {
-		r.leftOut++
-		return false, 0
-	}
-	leftOut, r.leftOut, r.loggedAt = r.leftOut, 0, now
-	return true, leftOut
-}
-
 // Refused implements kernel.LeafRegistry.
 func (m *Module) Refused(id string, err error) {
 	m.metrics.invalidRecords.Inc(1)
-	if ok, leftOut := m.refusals.allow(m.now()); ok {
+	if ok, leftOut := m.refusals.Allow(m.now()); ok {
 		_ = level.Warn(m.logger).Log("msg", "heartbeat refused because it is invalid", "leaf", id[:min(len(id), maxLoggedIDBytes)], "err", err, "lines_left_out", leftOut)
 	}
 }
