--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -42,7 +42,13 @@
 		return exitNotRun
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
-	d, err := newDeployment(repository, folder+"/record.txt")
+	r, err := newRecorder(folder + "/record.txt")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "cannot set up:", err)
+		return exitNotRun
+	}
+	defer r.file.Close()
+	d, err := newDeployment(repository, "", r)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "cannot set up:", err)
 		return exitNotRun
