Do not pass on a leaf's 503 to an unsafe request that may have run

Cause: Run.failure passed on each reply of a leaf that does not state "not run", whatever its status is. That the attempt may have run was known there, but was not used for the status that the caller gets. 408 and 429 took the same way. Ruled out: a second send by the VM, since each attempt of the caller ran once.

A reply with such a status and without the leaf's statement fails an unsafe request with 502, without a header of the leaf. A safe request gets the reply unchanged.

--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -87,14 +87,23 @@
 	return false
 }
 
+// failure returns the response to a request that no leaf has answered with a success.
 func (r *Run) failure(now time.Time) *Response {
 	if !r.mayHaveRun() {
 		return r.refuse(now, "no leaf ran it")
 	}
-	if p := &r.parts[0]; !r.route.IsScatterGather() && p.failure != nil && p.failure.Reply != nil && !p.failure.Reply.NotRun {
-		return &Response{Kind: KindLeaf, Reply: p.failure.Reply, Reason: "the leaf replied with a failure"}
+	failed := &Response{Kind: KindFailed, Missing: len(r.parts) - r.answeredParts, Reason: "no leaf gave a usable reply"}
+	p := &r.parts[0]
+	if r.route.IsScatterGather() || p.failure == nil || p.failure.Reply == nil || p.failure.Reply.NotRun {
+		return failed
 	}
-	return &Response{Kind: KindFailed, Missing: len(r.parts) - r.answeredParts, Reason: "no leaf gave a usable reply"}
+	reply := p.failure.Reply
+	if reply.StatusMeansNotRun && !r.route.Repeatable {
+		// The caller would send a request again that may run only once. The status alone is no proof that it has not run.
+		failed.Reason = fmt.Sprintf("the leaf replied with status %d without the statement that it has not run the request", reply.Status)
+		return failed
+	}
+	return &Response{Kind: KindLeaf, Reply: reply, Reason: "the leaf replied with a failure"}
 }
 
 const (
@@ -207,7 +216,7 @@
 	case a.err != nil:
 		return a.err.Error()
 	case !a.mayHaveRun:
-		return "not run"
+		return fmt.Sprintf("status %d, not run", a.status)
 	}
 	return fmt.Sprintf("status %d", a.status)
 }
--- a/internal/forward/run_test.go
+++ b/internal/forward/run_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -194,6 +195,47 @@
 	require.Equal(t, 500, response.Reply.Status)
 }
 
+// Guards against a request that has run once and that the caller sends again, because it got a response which means that the request has
+// not run. Attempts of requests that may run once end in all ways and orders.
+func TestResponseMeansNotRunOnlyIfNoLeafMayHaveRunTheRequest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ends := map[string]AttemptResult{
+			"not sent": {Err: errors.New("refused"), Refused: true}, "lost": lostConnection, "not run": replyWith(503, true), "failed": replyWith(500, false),
+			"status means not run": {Sent: true, Reply: &LeafReply{Status: 503, Signature: "sig", StatusMeansNotRun: true}},
+		}
+		names := rapid.SliceOfN(rapid.SampledFrom(slices.Sorted(maps.Keys(ends))), 12, 12).Draw(t, "ends of attempts")
+		r := newRun(singleRoute(false), newEnv("a"))
+		mayHaveRun := 0
+		sends, response, wake := r.Step(start)
+		for n := 0; response == nil; sends, response, wake = r.Step(wake) {
+			for _, s := range sends {
+				end := ends[names[n]]
+				n++
+				r.AttemptEnded(s.Part, s.Attempt, end)
+				if end.MayHaveRun() {
+					mayHaveRun++
+				}
+			}
+		}
+		require.LessOrEqual(t, mayHaveRun, 1)
+		meansNotRun := response.Kind == KindRefused || response.Kind == KindLeaf && response.Reply.StatusMeansNotRun
+		require.Equal(t, mayHaveRun == 0, meansNotRun, "%v: %s", names, response.Kind)
+	})
+}
+
+// Guards against another response than the leaf's to a request that may run again: its caller repeats it after any failure.
+func TestRepeatableRequestGetsTheReplyOfItsLeaf(t *testing.T) {
+	r := newRun(singleRoute(true), newEnv("a"))
+	reply := AttemptResult{Sent: true, Reply: &LeafReply{Status: 503, Signature: "sig", StatusMeansNotRun: true}}
+	_, response, _ := r.Step(start)
+	for n := 0; response == nil; n++ {
+		r.AttemptEnded(0, n, reply)
+		_, response, _ = r.Step(at(n + 1))
+	}
+	require.Equal(t, KindLeaf, response.Kind)
+	require.Equal(t, reply.Reply, response.Reply)
+}
+
 // Guards against a request that waits for an available connection until its deadline although another VM could serve
 // it.
 func TestRequestWithoutConnectionIsRefusedEarly(t *testing.T) {
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -76,6 +76,9 @@
 	Signature string
 	// NotRun reports whether the leaf states that it did not run the request.
 	NotRun bool
+	// StatusMeansNotRun reports whether callers take the status for a promise that the request has not run and never will. A leaf may
+	// give such a status to a request that it has run; only NotRun is a statement of the leaf.
+	StatusMeansNotRun bool
 	// WrongLeaf reports whether a leaf other than the addressed one replied.
 	WrongLeaf bool
 	// Identified reports whether the reply names the caller's attempt that it answers.
