Do not pass on a success without a signature

Change: a reply with a status of 2xx that is no answer becomes 502, on safe routes too, where the last of the tried leaves could give it.

--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -98,14 +98,25 @@
 		return failed
 	}
 	reply := p.failure.Reply
-	if reply.StatusMeansNotRun && !r.route.Repeatable {
-		// The caller would send a request again that may run only once. The status alone is no proof that it has not run.
-		failed.Reason = fmt.Sprintf("the leaf replied with status %d without the statement that it has not run the request", reply.Status)
+	if reason := r.whyWithheld(reply); reason != "" {
+		failed.Reason = reason
 		return failed
 	}
 	return &Response{Kind: KindLeaf, Reply: reply, Reason: "the leaf replied with a failure"}
 }
 
+// whyWithheld returns why the caller does not get the reply of a leaf that did not answer the request, or "" if it does.
+func (r *Run) whyWithheld(reply *LeafReply) string {
+	switch {
+	case reply.hasSuccessStatus():
+		return fmt.Sprintf("the leaf replied with status %d and without a signature", reply.Status)
+	case reply.StatusMeansNotRun && !r.route.Repeatable:
+		// The caller would send a request again that may run only once. The status alone is no proof that it has not run.
+		return fmt.Sprintf("the leaf replied with status %d without the statement that it has not run the request", reply.Status)
+	}
+	return ""
+}
+
 const (
 	// refusalRetryAfter is the delay after which a refused caller may retry: long enough for a leaf's queue to shorten.
 	refusalRetryAfter = 50 * time.Millisecond
--- a/internal/forward/run_test.go
+++ b/internal/forward/run_test.go
@@ -236,6 +236,21 @@
 	require.Equal(t, reply.Reply, response.Reply)
 }
 
+// Guards against a success that the caller gets without the signature of a leaf, on routes whose requests may run once and on others.
+func TestSuccessWithoutSignatureIsNotPassedOn(t *testing.T) {
+	for _, repeatable := range []bool{false, true} {
+		r := newRun(singleRoute(repeatable), newEnv("a"))
+		_, response, _ := r.Step(start)
+		for n := 0; response == nil; n++ {
+			r.AttemptEnded(0, n, AttemptResult{Sent: true, Reply: &LeafReply{Status: 201, Body: []byte("body")}})
+			_, response, _ = r.Step(at(n + 1))
+		}
+		require.Equal(t, KindFailed, response.Kind)
+		require.Nil(t, response.Reply)
+		require.Contains(t, response.Reason, "without a signature")
+	}
+}
+
 // Guards against a request that waits for an available connection until its deadline although another VM could serve
 // it.
 func TestRequestWithoutConnectionIsRefusedEarly(t *testing.T) {
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -96,9 +96,11 @@
 
 // Succeeded reports whether the leaf ran the request and gave a signed reply with a status of 2xx.
 func (r *LeafReply) Succeeded() bool {
-	return r.Status >= 200 && r.Status < 300 && r.Signature != "" && !r.NotRun
+	return r.hasSuccessStatus() && r.Signature != "" && !r.NotRun
 }
 
+func (r *LeafReply) hasSuccessStatus() bool { return r.Status >= 200 && r.Status < 300 }
+
 // maxPause limits the pause that a leaf may ask for. A longer one is taken for an error of the leaf.
 const maxPause = time.Hour
 
