Count the silence of a lost leader from its last message

Cause: a new leader counted the silence of every voter from its own election. The election (0.6 s and more) and replace_after (3 s) came one after the other, and together with the two changes of members they took longer than catchUpS (4 s). The lost voter still counted when the next machine was lost, and no quorum was left. Ruled out: the data, which the remaining disks hold, and the join of the successor, which ends within 2 s.

--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -216,6 +216,27 @@
 	require.Less(t, s.now.Sub(start).Milliseconds(), int64(10), "the transfer target waited for an election timeout")
 }
 
+// Guards against a lost leader whose silence counts only from the election of the next one, and against a voter that counts as silent
+// although it has just voted.
+func TestSilenceOfALostLeaderCountsFromItsLastMessage(t *testing.T) {
+	s := healthy(t, 3)
+	s.until("all are idle", s.converged)
+	old := s.leader()
+	rounds := 0
+	old.paused = true
+	s.until("another replica leads", func() bool { rounds++; return s.leader() != nil })
+	silence := s.leader().node.progress[old.id].ticksSinceContact
+	require.GreaterOrEqual(t, silence, rounds-3, "a heartbeat is sent every two ticks")
+	require.LessOrEqual(t, silence, rounds)
+	old.paused = false
+	s.until("the old leader follows", s.converged)
+	next := s.leader()
+	require.NoError(t, next.node.TransferLeadership())
+	s.flush(next)
+	s.until("leadership is transferred", func() bool { return s.leader() != nil && s.leader() != next })
+	require.Less(t, s.leader().node.progress[next.id].ticksSinceContact, 4, "it handed over and runs")
+}
+
 // Guards against a leader with a full disk that blocks the group while other disks have space.
 func TestDiskFull(t *testing.T) {
 	s := healthy(t, 3)
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -131,6 +131,7 @@
 }
 
 func (n *Node) becomeLeader() {
+	voted := n.votes
 	n.role, n.leader, n.votes = Leader, n.cfg.Replica, nil
 	n.electionElapsed, n.heartbeatElapsed, n.unappliedBytes = 0, 0, 0
 	n.round, n.confirmedRound = 0, 0
@@ -140,10 +141,20 @@
 	for _, p := range n.progress {
 		p.ticksSinceContact = 0 // Members have one election timeout to answer before the quorum counts as lost.
 	}
+	// The silence of a lost leader counts from its last message: its replacement would otherwise begin only after the election, and the
+	// next loss could come before its end.
+	if p := n.progress[n.lastLeader]; p != nil && !hasVoted(voted, p.id) {
+		p.ticksSinceContact = n.leaderSilence
+	}
 	n.appendOwn(Entry{Kind: EntryEmpty})
 	n.broadcastAppend()
 }
 
+func hasVoted(votes map[ReplicaID]bool, id ReplicaID) bool {
+	_, ok := votes[id]
+	return ok
+}
+
 // tickLeader sends heartbeats, and steps down when a quorum has not been responsive for an election timeout.
 func (n *Node) tickLeader() {
 	n.tickTransfer()
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -43,9 +43,12 @@
 
 	electionElapsed int
 	electionTimeout int
-	now             int64
-	votes           map[ReplicaID]bool
-	incoming        *incomingSnapshot
+	// lastLeader is the last leader that this replica has followed, and leaderSilence the number of ticks since its last message.
+	lastLeader    ReplicaID
+	leaderSilence int
+	now           int64
+	votes         map[ReplicaID]bool
+	incoming      *incomingSnapshot
 
 	// The following fields are used by a leader only.
 	progress         map[ReplicaID]*progress
@@ -104,6 +107,7 @@
 func (n *Node) Tick(now time.Time) {
 	n.now = unixNano(now)
 	n.electionElapsed++
+	n.leaderSilence++
 	if len(n.pending) > 0 {
 		n.pendingWriteTicks++
 	}
--- a/internal/consensus/step.go
+++ b/internal/consensus/step.go
@@ -64,6 +64,7 @@
 	if n.role == Leader {
 		return // A term has only one leader, so the message is forged or corrupted.
 	}
+	n.lastLeader, n.leaderSilence = m.From, 0
 	if m.Kind == MsgTimeoutNow {
 		if n.electable() {
 			n.startCampaign(MsgVote, true)
--- a/internal/modules/controllog/settings.go
+++ b/internal/modules/controllog/settings.go
@@ -31,6 +31,7 @@
 	{Section: section, Name: "form_group", Kind: settings.KindBool, Default: "false", Help: "on an empty data folder, form the first control group with the VMs at [discovery] seeds; true only when the whole system starts for the first time"},
 	{Section: section, Name: "tolerated_losses", Kind: settings.KindInt, Default: "0", Min: 0, Max: 4, Help: "control VMs that may be lost at once; above 0 it sets max_voters to twice that and one"},
 	{Section: section, Name: "replace_after", Kind: settings.KindDuration, Default: "0s", Max: 3600, Help: "time without contact with a voter after which a learner replaces it; 0 means never"},
+	{Section: section, Name: "replace_within", Kind: settings.KindDuration, Default: "0s", Max: 3600, Help: "time after a loss, or after the start of the lost VM's successor, within which the group has to tolerate the next loss; a start fails if the other settings allow a longer replacement; 0 means that it is not checked"},
 	{Section: section, Name: "rejoin_on_damage", Kind: settings.KindBool, Default: "false", Help: "rename a damaged control folder and join the group as a new replica, instead of refusing to start"},
 	{Section: section, Name: "retry", Kind: settings.KindDuration, Default: "500ms", Min: 0.001, Max: 60, Help: "pause between attempts to form or join the group, or to allocate space on a full disk"},
 	{Section: section, Name: "call_timeout", Kind: settings.KindDuration, Default: "2s", Min: 0.01, Max: 60, Help: "timeout of one call to another control VM"},
@@ -53,6 +54,7 @@
 	callTimeout     time.Duration
 	maxVoters       int
 	replaceAfter    time.Duration
+	replaceWithin   time.Duration
 	rejoinOnDamage  bool
 	// formGroup reports whether a VM with an empty data folder is a first member of a new group.
 	formGroup bool
@@ -77,6 +79,7 @@
 		retry:           s.Duration(section, "retry"),
 		callTimeout:     s.Duration(section, "call_timeout"),
 		replaceAfter:    s.Duration(section, "replace_after"),
+		replaceWithin:   s.Duration(section, "replace_within"),
 		rejoinOnDamage:  s.Bool(section, "rejoin_on_damage"),
 	}
 	if f := s.Int(section, "tolerated_losses"); f > 0 {
@@ -120,12 +123,36 @@
 	case int64(o.maxUnapplied) > o.segmentBytes/2 || int64(o.maxInflight)*int64(o.maxMessage) > o.segmentBytes/2:
 		// Entries that are in flight when the disk becomes full have to fit into the preallocated segment.
 		return errs.New(errs.KindInvalid, "raise segment_bytes", "[control] max_unapplied_bytes, or max_inflight times max_message_bytes, is above half of segment_bytes %d", o.segmentBytes)
+	case o.checksReplacement() && o.replaceAfter+o.changeTime() > o.replaceWithin:
+		return errs.New(errs.KindInvalid, "lower replace_after", "[control] replace_after %s and %s for the changes of members are longer than replace_within %s", o.replaceAfter, o.changeTime(), o.replaceWithin)
+	case o.checksReplacement() && o.successorTime()+o.changeTime() > o.replaceWithin:
+		return errs.New(errs.KindInvalid, "lower election_ticks or tick", "[control] election_ticks %d of %s each, retry %s and %s for the changes of members are longer than replace_within %s",
+			o.electionTicks, o.tick, o.retry, o.changeTime(), o.replaceWithin)
 	case o.maxUnapplied < o.maxProposal:
 		return errs.New(errs.KindInvalid, "raise max_unapplied_bytes", "[control] max_unapplied_bytes %d is below max_proposal_bytes %d", o.maxUnapplied, o.maxProposal)
 	}
 	return nil
 }
 
+// memberChangeTime is how long one change of the members takes: one sync on the leader and one on the other voters at the same time, of
+// disks that take 30 times the 2 ms that they should, and the messages between them, twice over.
+const memberChangeTime = 250 * time.Millisecond
+
+func (o options) checksReplacement() bool { return o.replaceAfter > 0 && o.replaceWithin > 0 }
+
+// changeTime is how long the promotion of a learner and the removal of a lost voter take, for as many losses at once as the voters
+// tolerate.
+func (o options) changeTime() time.Duration {
+	tolerated := max((o.maxVoters-1)/2, 1)
+	return time.Duration(2*tolerated) * memberChangeTime
+}
+
+// successorTime is how long it takes until a successor that starts with the loss of the leader is a learner: the longest time to an
+// election, and one pause between two requests to join.
+func (o options) successorTime() time.Duration {
+	return time.Duration(2*o.electionTicks)*o.tick + o.retry
+}
+
 // checkInitial validates the list of first members.
 func (o options) checkInitial(thisVM model.VMName) error {
 	if !slices.Contains(o.initial, thisVM) {
