Let one of several equal candidates go on with an election

Replicas that started an election at the same moment granted each other's pre-votes, split the votes of the next term and waited for another timeout.

Change: a replica that has requested pre-votes within the last two ticks refuses the request of a candidate with an equal log and a higher replica ID. Pre-votes bind nobody, so this cannot lead to two leaders, and after two ticks a replica that cannot win holds up no other.

TestSimultaneousCandidatesElectALeaderAtOnce failed before for five voters, and passes now.

--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -216,6 +216,23 @@
 	require.Less(t, s.now.Sub(start).Milliseconds(), int64(10), "the transfer target waited for an election timeout")
 }
 
+// Guards against an election that takes several timeouts because replicas start it at the same moment and split the votes.
+func TestSimultaneousCandidatesElectALeaderAtOnce(t *testing.T) {
+	for _, voters := range []int{3, 5} {
+		s := healthy(t, voters)
+		s.until("all are idle", s.converged)
+		s.leader().node = nil
+		s.network = nil
+		for _, r := range s.live() {
+			r.node.electionElapsed, r.node.electionTimeout = 12, 13
+		}
+		for range 3 {
+			s.round()
+		}
+		require.NotNil(t, s.leader(), "%d voters", voters)
+	}
+}
+
 // Guards against a lost leader whose silence counts only from the election of the next one, and against a voter that counts as silent
 // although it has just voted.
 func TestSilenceOfALostLeaderCountsFromItsLastMessage(t *testing.T) {
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -83,7 +83,7 @@
 func (n *Node) handleVote(m Message) {
 	upToDate := m.LogTerm > n.log.lastTerm() || m.LogTerm == n.log.lastTerm() && m.Index >= n.log.last()
 	if m.Kind == MsgPreVote {
-		grant := upToDate && m.Term > n.term
+		grant := upToDate && m.Term > n.term && !n.winsTie(m)
 		term := n.term
 		if grant {
 			term = m.Term
@@ -100,6 +100,16 @@
 	n.sendAfterSync(Message{Kind: MsgVoteResp, To: m.From, Reject: !grant})
 }
 
+// tieTicks is how long after its own request for pre-votes a replica refuses one to an equal candidate: longer than a request is on its way.
+const tieTicks = 2
+
+// winsTie reports whether this replica and a candidate, whose logs are equal, have requested pre-votes at the same time, and this replica
+// is the one that goes on. Both would otherwise become candidates of the same term, split the votes and wait for another timeout.
+func (n *Node) winsTie(m Message) bool {
+	equal := m.LogTerm == n.log.lastTerm() && m.Index == n.log.last()
+	return n.role == PreCandidate && n.electionElapsed < tieTicks && equal && n.cfg.Replica < m.From
+}
+
 func (n *Node) handleVoteResp(m Message) {
 	switch {
 	case m.Kind == MsgPreVoteResp && n.role == PreCandidate && (m.Reject || m.Term == n.term+1):
