Forget the silence of an earlier leader once a replica leads

A replica that led itself, stepped down and was elected again still had the leader before it as the last one, with a silence of its whole leadership. If that VM did not vote in time, it would have been replaced although it runs.

Change: a new leader drops what it knows of the leader before it, and that one always gets the time of three heartbeats to answer.

TestSilenceOfAnEarlierLeaderDoesNotCount failed without the change (34 ticks of silence or more are counted) and passes now.

--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -237,6 +237,9 @@
 // although it has just voted.
 func TestSilenceOfALostLeaderCountsFromItsLastMessage(t *testing.T) {
 	s := healthy(t, 3)
+	for _, r := range s.replicas {
+		r.node.cfg.ReplaceAfterTicks = 40
+	}
 	s.until("all are idle", s.converged)
 	old := s.leader()
 	rounds := 0
@@ -254,6 +257,29 @@
 	require.Less(t, s.leader().node.progress[next.id].ticksSinceContact, 4, "it handed over and runs")
 }
 
+// Guards against a running voter that is replaced because it led long ago: a leader that is elected again has had no message of it since.
+func TestSilenceOfAnEarlierLeaderDoesNotCount(t *testing.T) {
+	s := healthy(t, 5)
+	for _, r := range s.replicas {
+		r.node.cfg.ReplaceAfterTicks = 40
+	}
+	s.until("all are idle", s.converged)
+	first := s.leader()
+	require.NoError(t, first.node.TransferLeadership())
+	s.flush(first)
+	s.until("leadership is transferred", func() bool { return s.leader() != nil && s.leader() != first && s.converged() })
+	second := s.leader()
+	for range 300 {
+		s.round()
+	}
+	first.paused = true
+	second.node.becomeFollower(second.node.term, "")
+	second.node.startCampaign(MsgVote, true)
+	s.flush(second)
+	s.until("it is elected again", func() bool { return s.leader() == second })
+	require.Less(t, second.node.progress[first.id].ticksSinceContact, 10)
+}
+
 // Guards against a leader with a full disk that blocks the group while other disks have space.
 func TestDiskFull(t *testing.T) {
 	s := healthy(t, 3)
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -152,14 +152,18 @@
 		p.ticksSinceContact = 0 // Members have one election timeout to answer before the quorum counts as lost.
 	}
 	// The silence of a lost leader counts from its last message: its replacement would otherwise begin only after the election, and the
-	// next loss could come before its end.
+	// next loss could come before its end. It has the time of some heartbeats to answer in any case.
 	if p := n.progress[n.lastLeader]; p != nil && !hasVoted(voted, p.id) {
-		p.ticksSinceContact = n.leaderSilence
+		p.ticksSinceContact = min(n.leaderSilence, max(n.cfg.ReplaceAfterTicks-answerHeartbeats*n.cfg.HeartbeatTicks, 0))
 	}
+	n.lastLeader = "" // What it has sent before says nothing once this replica has led.
 	n.appendOwn(Entry{Kind: EntryEmpty})
 	n.broadcastAppend()
 }
 
+// answerHeartbeats is how many heartbeats a leader sends before it replaces the leader before it as a voter.
+const answerHeartbeats = 3
+
 func hasVoted(votes map[ReplicaID]bool, id ReplicaID) bool {
 	_, ok := votes[id]
 	return ok
