Let a VM that is back soon after a planned stop vote again

Cause: a voter that was demoted because it is about to end stayed excluded from a promotion for two election timeouts, and a request that found no other learner was refused at once.

Change: the exclusion ends an election timeout after the demotion is committed, by when the process has ended. A request is refused only if no learner responds at all, and otherwise waits for one that may vote.

--- a/internal/consensus/leave.go
+++ b/internal/consensus/leave.go
@@ -26,7 +26,7 @@
 		return nil
 	case id == n.cfg.Replica:
 		return errs.New(errs.KindConflict, "transfer leadership first", "the leader cannot replace itself")
-	case n.cfg.MaxVoters == 0 || !slices.ContainsFunc(n.members(), n.available):
+	case n.cfg.MaxVoters == 0 || !slices.ContainsFunc(n.members(), n.responsiveLearner):
 		return errs.New(errs.KindNotFound, "start another control VM", "no learner is responsive that could vote in place of replica %s", id)
 	}
 	n.progress[id].leavingTicks = leaveTimeouts * n.cfg.ElectionTicks
@@ -45,15 +45,24 @@
 	return !m.Learner && m.Replica != n.cfg.Replica && n.progress[m.Replica].leavingTicks > 0
 }
 
-// available reports whether a member is a responsive learner that is not about to end. It may not have caught up yet, or not have answered
-// a leader that was just elected.
-func (n *Node) available(m Member) bool {
-	p := n.progress[m.Replica]
-	return m.Learner && p.leavingTicks == 0 && n.responsive(p)
+// responsiveLearner reports whether a member is a responsive learner. It may not have caught up yet, or not have answered a leader that was
+// just elected.
+func (n *Node) responsiveLearner(m Member) bool {
+	return m.Learner && n.responsive(n.progress[m.Replica])
 }
 
-// promotable reports whether a member is a learner that may vote.
-func (n *Node) promotable(m Member) bool { return n.available(m) && n.caughtUp(m.Replica) }
+// promotable reports whether a member is a learner that may vote now.
+func (n *Node) promotable(m Member) bool {
+	return m.Learner && n.caughtUp(m.Replica) && n.progress[m.Replica].leavingTicks == 0
+}
+
+// shortenLeave lets a voter that was demoted because it is about to end be promoted again after an election timeout. Its process has
+// ended by then, and may be back.
+func (n *Node) shortenLeave(c *Change) {
+	if p := n.progress[c.Member.Replica]; p != nil && c.Kind == Demote {
+		p.leavingTicks = min(p.leavingTicks, n.cfg.ElectionTicks)
+	}
+}
 
 // expired reports whether a member is a learner that has been silent for so long that its VM counts as removed.
 func (n *Node) expired(m Member) bool {
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -260,6 +260,9 @@
 	n.commit = index
 	if at := n.memberships[len(n.memberships)-1].index; at > old && at <= index {
 		n.addNotice(Notice{Kind: NoticeCommitted, Index: at, Change: n.lastChange})
+		if n.lastChange != nil {
+			n.shortenLeave(n.lastChange)
+		}
 		n.lastChange = nil
 	}
 }
