--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -27,7 +27,7 @@
 	probeInFlight bool
 	// ticksSinceContact counts the ticks since the member last answered.
 	ticksSinceContact int
-	// leavingTicks is for how many more ticks a voter that is about to end is replaced. It is 0 for all others.
+	// leavingTicks is for how many more ticks the VM counts as about to end: a voter is replaced meanwhile, and a learner is not promoted.
 	leavingTicks int
 	// hasAnswered reports whether the member has answered this leader, diskFull what its last answer says.
 	hasAnswered, diskFull bool
--- a/internal/consensus/turnover_test.go
+++ b/internal/consensus/turnover_test.go
@@ -10,13 +10,13 @@
 	"github.com/chestnuttiller/chestnuttiller/internal/model"
 )
 
-// The settings of deploy/control.ini, and the users' bounds: the group has to tolerate the next loss turnoverCatchUp after a loss.
+// The settings of deploy/control.ini. The group has to tolerate the next loss turnoverCatchUp after a loss, which is the users' bound.
 const (
-	turnoverTick         = 50 * time.Millisecond
-	turnoverElection     = 12
-	turnoverReplaceAfter = 40
-	turnoverRetry        = 500 * time.Millisecond
-	turnoverCatchUp      = 4 * time.Second
+	turnoverTick          = 50 * time.Millisecond
+	turnoverElectionTicks = 12
+	turnoverReplaceTicks  = 40
+	turnoverRetry         = 500 * time.Millisecond
+	turnoverCatchUp       = 4 * time.Second
 )
 
 // turnover runs a sim by a clock, with delays of messages and syncs. The messages from one replica to another keep their order.
@@ -50,7 +50,7 @@
 		nextTick: map[*simReplica]time.Duration{}, nextJoin: map[*simReplica]time.Duration{},
 		message: drawBetween(time.Millisecond, 4*time.Millisecond),
 	}
-	x.maxVoters, x.replaceAfter = voters, turnoverReplaceAfter
+	x.maxVoters, x.replaceAfter = voters, turnoverReplaceTicks
 	for _, r := range x.replicas {
 		x.configure(r)
 	}
@@ -66,7 +66,7 @@
 
 func (x *turnover) configure(r *simReplica) {
 	c := &r.node.cfg
-	c.ElectionTicks, c.MaxVoters, c.ReplaceAfterTicks = turnoverElection, x.maxVoters, x.replaceAfter
+	c.ElectionTicks, c.MaxVoters, c.ReplaceAfterTicks = turnoverElectionTicks, x.maxVoters, x.replaceAfter
 	c.MaxMessageBytes, c.ChunkBytes, c.MaxInflight = 256<<10, 256<<10, 8
 	r.node.resetTimeout()
 	x.nextTick[r] = x.at + time.Duration(x.random.Int64N(int64(turnoverTick)))
@@ -301,7 +301,7 @@
 	x.run(5 * time.Second)
 	x.stop(x.draw(), time.Second)
 	left := len(x.leader().node.members())
-	x.run(learnerExpiryFactor*turnoverReplaceAfter*turnoverTick - time.Second)
+	x.run(learnerExpiryFactor*turnoverReplaceTicks*turnoverTick - time.Second)
 	if n := len(x.leader().node.members()); left != 4 || n != 4 {
 		t.Fatalf("%d members right after the stop, and %d later", left, n)
 	}
